--- a/include/ferrytrack/sender.h
+++ b/include/sagetally/sender.h
@@ -1,5 +1,5 @@
-// The interface of ferrytrack: settings, events, actions and the Sender that turns the ones into the others.
-// Values only; every decision is in src/decide.cpp.
+// The interface of sagetally: settings, events, actions and the Sender that turns the ones into the others.
+// Values only; every decision is in src/brain/decide.cpp.
 //
 // Contract. One Sender serves one delivery node; it is used by one thread at a time and shares nothing with
 // other instances. The host calls Step whenever events have come in or a Wake it was asked for is due, hands
@@ -9,8 +9,8 @@
 // A host that breaks the contract gets defined behaviour: an outcome for an unknown message or attempt, an
 // id taken twice while held, a probe never asked for and a withdrawal of an unknown message are ignored; a
 // clock that goes back stands still; a class or kind out of range throws std::invalid_argument.
-#ifndef FERRYTRACK_SENDER_H_
-#define FERRYTRACK_SENDER_H_
+#ifndef SAGETALLY_SENDER_H_
+#define SAGETALLY_SENDER_H_
 
 #include <chrono>
 #include <cstdint>
@@ -20,7 +20,7 @@
 #include <variant>
 #include <vector>
 
-namespace ferrytrack {
+namespace sagetally {
 
 using Duration = std::chrono::microseconds;
 using Time = std::chrono::microseconds;  // since any fixed moment of the host's choice; moves forward only
@@ -209,6 +209,6 @@
   std::unique_ptr<Impl> impl_;
 };
 
-}  // namespace ferrytrack
+}  // namespace sagetally
 
-#endif  // FERRYTRACK_SENDER_H_
+#endif  // SAGETALLY_SENDER_H_
--- a/src/benchlink/main.cpp
+++ b/src/benchlink/main.cpp
@@ -1,4 +1,4 @@
-// Adapter between the bench's wire (one JSON value a line) and ferrytrack::Sender. It translates and decides
+// Adapter between the bench's wire (one JSON value a line) and sagetally::Sender. It translates and decides
 // nothing. Malformed input ends it with one line on standard error and exit code 1.
 #include <cmath>
 #include <iostream>
@@ -12,13 +12,13 @@
 #include <variant>
 #include <vector>
 
-#include "ferrytrack/sender.h"
+#include "sagetally/sender.h"
 
 namespace {
 
-using ferrytrack::Action;
-using ferrytrack::Duration;
-using ferrytrack::Event;
+using sagetally::Action;
+using sagetally::Duration;
+using sagetally::Event;
 using Json = nlohmann::json;
 
 [[noreturn]] void Malformed(const std::string& what) { throw std::runtime_error(what); }
@@ -86,28 +86,28 @@
   return value;
 }
 
-ferrytrack::Settings ReadSettings(const Json& params) {
-  ferrytrack::Settings s;
+sagetally::Settings ReadSettings(const Json& params) {
+  sagetally::Settings s;
   for (const Json& grade : List(params, "grades")) {
-    ferrytrack::ClassSettings c;
+    sagetally::ClassSettings c;
     c.aim = GetMs(grade, "slo");
     c.deadline = GetMs(grade, "deadline");
     c.worth = Get<double>(grade, "credit", 1.0);
     c.late_share = Get<double>(grade, "lateShare", 0.0);
     const auto effect = Get<std::string>(grade, "idempotency");
     if (effect == "pure") {
-      c.effect = ferrytrack::Effect::kSafe;
+      c.effect = sagetally::Effect::kSafe;
     } else if (effect == "token") {
-      c.effect = ferrytrack::Effect::kKeyed;
+      c.effect = sagetally::Effect::kKeyed;
     } else if (effect == "side_effect") {
-      c.effect = ferrytrack::Effect::kUnsafe;
+      c.effect = sagetally::Effect::kUnsafe;
     } else {
       Malformed("unknown idempotency '" + effect + "'");
     }
     const auto group = Get<std::string>(grade, "group", "all");
-    c.key_scope = group == "all"    ? ferrytrack::KeyScope::kAll
-                  : group == "zone" ? ferrytrack::KeyScope::kZone
-                                    : ferrytrack::KeyScope::kEndpoint;
+    c.key_scope = group == "all"    ? sagetally::KeyScope::kAll
+                  : group == "zone" ? sagetally::KeyScope::kZone
+                                    : sagetally::KeyScope::kEndpoint;
     c.repeat_window = GetMs(grade, "repeatWindow", 0.0);
     c.in_order = Get<bool>(grade, "inOrder", false);
     s.classes.push_back(c);
@@ -139,9 +139,9 @@
   s.may_probe = Get<bool>(caps, "probes", false);
   s.may_tell_wait = Get<bool>(caps, "retryAfter", false);
   const auto weights = Get<std::string>(params, "weightKind", "nominal");
-  s.rates = weights == "silent"  ? ferrytrack::Rates::kUntold
-            : weights == "rough" ? ferrytrack::Rates::kRough
-                                 : ferrytrack::Rates::kNominal;
+  s.rates = weights == "silent"  ? sagetally::Rates::kUntold
+            : weights == "rough" ? sagetally::Rates::kRough
+                                 : sagetally::Rates::kNominal;
   s.over_share_worth = Get<double>(params, "overShareWorth", 1.0);
   if (params.contains("tenants")) {
     for (const Json& tenant : List(params, "tenants")) {
@@ -150,8 +150,8 @@
   }
   s.second_copies = Get<bool>(caps, "secondCopies", false);
   s.refused_price = Get<double>(specifics, "refusalCost", 0.0);
-  s.late = Get<std::string>(specifics, "late", "linear") == "halving" ? ferrytrack::LateWorth::kHalving
-                                                                      : ferrytrack::LateWorth::kLinear;
+  s.late = Get<std::string>(specifics, "late", "linear") == "halving" ? sagetally::LateWorth::kHalving
+                                                                      : sagetally::LateWorth::kLinear;
   s.list_on_request = Get<std::string>(params, "discovery", "automatic") == "subscribe";
   s.most_client_wait = GetMs(caps, "maxRetryAfter", 0.0);
   s.connection_idle = GetMs(caps, "connIdle", 0.0);
@@ -167,13 +167,13 @@
   return s;
 }
 
-ferrytrack::Outcome ReadOutcome(const Json& body) {
+sagetally::Outcome ReadOutcome(const Json& body) {
   const int code = Get<int>(body, "code");
   if (code < 0 || code > 7) Malformed("unknown outcome");
-  return static_cast<ferrytrack::Outcome>(code);
+  return static_cast<sagetally::Outcome>(code);
 }
 
-ferrytrack::LoadReport ReadLoad(const Json& body) {
+sagetally::LoadReport ReadLoad(const Json& body) {
   const Json& stats = Part(body, "serverStats");
   return {Get<double>(stats, "x0", 0.0), Get<double>(stats, "x1", 0.0)};
 }
@@ -208,7 +208,7 @@
           actions.clear();
           events.clear();
           senders_.insert_or_assign(
-              name, ferrytrack::Sender(ReadSettings(Need(body, "params")), Get<std::uint64_t>(body, "seed")));
+              name, sagetally::Sender(ReadSettings(Need(body, "params")), Get<std::uint64_t>(body, "seed")));
         } else if (senders_.find(name) == senders_.end()) {
           Malformed("event for instance '" + name + "' that has not begun");
         } else if (kind == "Retire") {
@@ -232,9 +232,9 @@
 
  private:
   void ReadRows(const Json& body) {
-    std::vector<ferrytrack::EndpointEntry> rows;
+    std::vector<sagetally::EndpointEntry> rows;
     for (const Json& host : List(body, "hosts")) {
-      ferrytrack::EndpointEntry e;
+      sagetally::EndpointEntry e;
       e.endpoint = Get<std::string>(host, "endpoint");
       e.destination = Get<int>(host, "destination");
       e.zone = Get<int>(host, "az", 0);
@@ -242,11 +242,11 @@
       e.rate = Get<double>(host, "rating", 0.0);
       const auto mode = Get<std::string>(host, "mode");
       if (mode == "up") {
-        e.state = ferrytrack::EndpointEntry::State::kUp;
+        e.state = sagetally::EndpointEntry::State::kUp;
       } else if (mode == "draining") {
-        e.state = ferrytrack::EndpointEntry::State::kDraining;
+        e.state = sagetally::EndpointEntry::State::kDraining;
       } else if (mode == "removed") {
-        e.state = ferrytrack::EndpointEntry::State::kRemoved;
+        e.state = sagetally::EndpointEntry::State::kRemoved;
       } else {
         Malformed("unknown mode '" + mode + "'");
       }
@@ -257,16 +257,16 @@
 
   std::optional<Event> ReadEvent(const std::string& kind, const Json& body) {
     if (kind == "BackendsChanged") {
-      ferrytrack::ListChanged e;
+      sagetally::ListChanged e;
       const auto what = Get<std::string>(body, "kind");
       if (what == "FAILED") {
-        e.kind = ferrytrack::ListChanged::Kind::kFailed;
+        e.kind = sagetally::ListChanged::Kind::kFailed;
         return e;
       }
       if (what == "INCREMENTAL") {
-        e.kind = ferrytrack::ListChanged::Kind::kChanges;
+        e.kind = sagetally::ListChanged::Kind::kChanges;
       } else if (what == "FULL" || what == "SAVED") {
-        e.kind = ferrytrack::ListChanged::Kind::kWhole;
+        e.kind = sagetally::ListChanged::Kind::kWhole;
         e.saved = what == "SAVED";
       } else {
         Malformed("unknown list kind '" + what + "'");
@@ -277,7 +277,7 @@
       return e;
     }
     if (kind == "Order") {
-      ferrytrack::MessageTaken e;
+      sagetally::MessageTaken e;
       e.id = Get<std::string>(body, "req");
       e.destination = Get<int>(body, "calledNode", 0);
       e.message_class = Get<int>(body, "category", 0);
@@ -287,53 +287,50 @@
       return e;
     }
     if (kind == "Settled") {
-      ferrytrack::AttemptEnded e;
+      sagetally::AttemptEnded e;
       e.id = Get<std::string>(body, "req");
       e.attempt = Get<int>(body, "copy", 0);
       e.outcome = ReadOutcome(body);
       e.finished = Get<bool>(body, "finished", false);
       e.took = GetMs(body, "waitTime", 0.0);
-      if (e.outcome == ferrytrack::Outcome::kFull) e.told_wait = GetMs(body, "remarkMs", 0.0);
+      if (e.outcome == sagetally::Outcome::kFull) e.told_wait = GetMs(body, "remarkMs", 0.0);
       e.load = ReadLoad(body);
       return e;
     }
     if (kind == "CheckResult") {
-      return ferrytrack::ProbeEnded{Get<std::string>(body, "endpoint"), ReadOutcome(body),
-                                    GetMs(body, "waitTime", 0.0), ReadLoad(body)};
+      return sagetally::ProbeEnded{Get<std::string>(body, "endpoint"), ReadOutcome(body),
+                                   GetMs(body, "waitTime", 0.0), ReadLoad(body)};
     }
-    if (kind == "Abandoned") return ferrytrack::Withdrawn{Get<std::string>(body, "req")};
-    if (kind == "Alarm") return ferrytrack::WakeDue{};
-    if (kind == "Memo")
-      return ferrytrack::PeerNote{Get<int>(body, "who"), Get<std::string>(body, "body", "")};
+    if (kind == "Abandoned") return sagetally::Withdrawn{Get<std::string>(body, "req")};
+    if (kind == "Alarm") return sagetally::WakeDue{};
+    if (kind == "Memo") return sagetally::PeerNote{Get<int>(body, "who"), Get<std::string>(body, "body", "")};
     if (kind == "Streaming") return std::nullopt;  // no class is streamed here
     Malformed("unknown event '" + kind + "'");
   }
 
   static double Ms(Duration d) { return static_cast<double>(d.count()) / 1000.0; }
-  static Json Write(const ferrytrack::Send& a) {
+  static Json Write(const sagetally::Send& a) {
     return {{"Forward", {{"req", a.id}, {"endpoint", a.endpoint}, {"within", Ms(a.time_out)}}}};
   }
-  static Json Write(const ferrytrack::Refuse& a) {
+  static Json Write(const sagetally::Refuse& a) {
     return {{"TurnAway", {{"req", a.id}, {"holdOff", Ms(a.come_back_after)}}}};
   }
-  static Json Write(const ferrytrack::Fail& a) { return {{"ReportFailure", {{"req", a.id}}}}; }
-  static Json Write(const ferrytrack::Cancel& a) {
-    return {{"Revoke", {{"req", a.id}, {"copy", a.attempt}}}};
-  }
-  static Json Write(const ferrytrack::Probe& a) { return {{"Ping", {{"endpoint", a.endpoint}}}}; }
-  static Json Write(const ferrytrack::CloseIdle& a) { return {{"Close", {{"endpoint", a.endpoint}}}}; }
-  static Json Write(const ferrytrack::Wake& a) {
+  static Json Write(const sagetally::Fail& a) { return {{"ReportFailure", {{"req", a.id}}}}; }
+  static Json Write(const sagetally::Cancel& a) { return {{"Revoke", {{"req", a.id}, {"copy", a.attempt}}}}; }
+  static Json Write(const sagetally::Probe& a) { return {{"Ping", {{"endpoint", a.endpoint}}}}; }
+  static Json Write(const sagetally::CloseIdle& a) { return {{"Close", {{"endpoint", a.endpoint}}}}; }
+  static Json Write(const sagetally::Wake& a) {
     return {{"After", {{"delay", Ms(a.after)}, {"keyBack", 0}}}};
   }
-  static Json Write(const ferrytrack::Track& a) { return {{"Track", {{"want", a.on}}}}; }
-  static Json Write(const ferrytrack::FetchList&) { return {{"ReadList", Json::object()}}; }
-  static Json Write(const ferrytrack::TellPeers& a) {
+  static Json Write(const sagetally::Track& a) { return {{"Track", {{"want", a.on}}}}; }
+  static Json Write(const sagetally::FetchList&) { return {{"ReadList", Json::object()}}; }
+  static Json Write(const sagetally::TellPeers& a) {
     return {{"Announce", {{"dst", "*"}, {"body", a.body}}}};
   }
-  static Json Write(const ferrytrack::Log& a) { return {{"Record", {{"what", a.line}}}}; }
+  static Json Write(const sagetally::Log& a) { return {{"Record", {{"what", a.line}}}}; }
 
-  std::map<std::string, ferrytrack::Sender> senders_;
-  std::map<int, std::vector<ferrytrack::EndpointEntry>> lists_;
+  std::map<std::string, sagetally::Sender> senders_;
+  std::map<int, std::vector<sagetally::EndpointEntry>> lists_;
 };
 
 }  // namespace
@@ -351,7 +348,7 @@
       for (char& c : what) {
         if (c == '\n') c = ' ';
       }
-      std::cerr << "ferrytrack_benchlink: " << what << std::endl;
+      std::cerr << "sagetally_benchlink: " << what << std::endl;
       return 1;
     }
   }
--- a/src/decide.cpp
+++ b/src/brain/decide.cpp
@@ -1,7 +1,7 @@
-// Every decision of ferrytrack. The interface (settings, events, actions) is include/ferrytrack/sender.h.
+// Every decision of sagetally. The interface (settings, events, actions) is include/sagetally/sender.h.
 //
 // Read top to bottom: constants, state, events, estimates, release, relegation, pace, health, guards. The
-// mechanism is NIYAMA's (docs/design.md): P = arrival + aim + alpha x expected call time, lowest P leaves
+// mechanism is NIYAMA's (the design page): P = arrival + aim + alpha x expected call time, lowest P leaves
 // first; what would miss its aim is relegated, lower worth first; what cannot arrive any more is refused.
 #include <algorithm>
 #include <cmath>
@@ -16,9 +16,9 @@
 #include <tuple>
 #include <utility>
 
-#include "ferrytrack/sender.h"
+#include "sagetally/sender.h"
 
-namespace ferrytrack {
+namespace sagetally {
 namespace {
 
 using std::chrono::milliseconds;
@@ -166,7 +166,7 @@
 };
 
 void Require(bool fine, const char* what) {
-  if (!fine) throw std::invalid_argument(std::string("ferrytrack settings: ") + what);
+  if (!fine) throw std::invalid_argument(std::string("sagetally settings: ") + what);
 }
 
 }  // namespace
@@ -221,7 +221,7 @@
     }
     for (const EndpointEntry& entry : e.entries) {
       if (entry.kind < 0 || entry.kind >= static_cast<int>(s_.kinds.size())) {
-        throw std::invalid_argument("ferrytrack: kind of endpoint '" + entry.endpoint + "' out of range");
+        throw std::invalid_argument("sagetally: kind of endpoint '" + entry.endpoint + "' out of range");
       }
       const auto [at, is_new] = endpoints_.try_emplace(entry.endpoint);
       Endpoint& endpoint = at->second;
@@ -243,7 +243,7 @@
 
   void On(const MessageTaken& e) {
     if (e.message_class < 0 || e.message_class >= static_cast<int>(s_.classes.size())) {
-      throw std::invalid_argument("ferrytrack: class of message '" + e.id + "' out of range");
+      throw std::invalid_argument("sagetally: class of message '" + e.id + "' out of range");
     }
     const auto [at, is_new] = messages_.try_emplace(e.id);
     if (!is_new) return;
@@ -981,4 +981,4 @@
   impl_->Step(now, events, actions);
 }
 
-}  // namespace ferrytrack
+}  // namespace sagetally
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -6,7 +6,7 @@
 
 #include "node.h"
 
-namespace ferrytrack {
+namespace sagetally {
 namespace {
 
 // Three answered calls of 100 ms, so that the expected time is known (about 100 ms).
@@ -859,4 +859,4 @@
 }
 
 }  // namespace
-}  // namespace ferrytrack
+}  // namespace sagetally
--- a/tests/node.h
+++ b/tests/node.h
@@ -1,6 +1,6 @@
 // A delivery node for tests: settings, a Sender, and what it answered.
-#ifndef FERRYTRACK_TESTS_NODE_H_
-#define FERRYTRACK_TESTS_NODE_H_
+#ifndef SAGETALLY_TESTS_NODE_H_
+#define SAGETALLY_TESTS_NODE_H_
 
 #include <map>
 #include <string>
@@ -8,9 +8,9 @@
 #include <variant>
 #include <vector>
 
-#include "ferrytrack/sender.h"
+#include "sagetally/sender.h"
 
-namespace ferrytrack {
+namespace sagetally {
 
 using namespace std::chrono_literals;
 
@@ -102,6 +102,6 @@
   return {.endpoint = std::move(endpoint), .destination = destination, .kind = kind, .rate = rate};
 }
 
-}  // namespace ferrytrack
+}  // namespace sagetally
 
-#endif  // FERRYTRACK_TESTS_NODE_H_
+#endif  // SAGETALLY_TESTS_NODE_H_
--- a/tests/rules_random_test.cpp
+++ b/tests/rules_random_test.cpp
@@ -11,7 +11,7 @@
 
 #include "node.h"
 
-namespace ferrytrack {
+namespace sagetally {
 namespace {
 
 struct Flight {
@@ -339,4 +339,4 @@
 }
 
 }  // namespace
-}  // namespace ferrytrack
+}  // namespace sagetally
