--- a/include/sagetally/sender.h
+++ b/include/sagetally/sender.h
@@ -15,6 +15,7 @@
 #include <chrono>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <variant>
@@ -128,6 +129,10 @@
   Duration time_left{0};
   std::string key = {};  // empty: none
   int tenant = 0;        // index into Settings::tenants; ignored where there are none
+  // What is known of a message that a host held before it was started again.
+  int attempts = 0;                       // made so far
+  std::optional<Time> may_have_run = {};  // send time of the earliest attempt that may have run
+  std::string may_have_run_at = {};       // the endpoint it went to
 };
 struct AttemptEnded {
   std::string id = {};
--- /dev/null
+++ b/src/app/dispatcher.h
@@ -0,0 +1,60 @@
+// One dispatcher: the adapters round the core, and its life from start to stop.
+#ifndef SAGETALLY_SRC_APP_DISPATCHER_H_
+#define SAGETALLY_SRC_APP_DISPATCHER_H_
+
+#include <memory>
+#include <string>
+
+#include "clock/clock.h"
+#include "config/config.h"
+#include "front/platform/platform.h"
+#include "net/endpoint_pool.h"
+#include "net/loop.h"
+#include "net/notices.h"
+#include "net/peers.h"
+#include "net/server.h"
+#include "net/watch.h"
+#include "stages/chain.h"
+#include "store/store.h"
+
+namespace sagetally {
+
+class Dispatcher : public Host {
+ public:
+  explicit Dispatcher(const Config& config);
+  ~Dispatcher() override;
+
+  void Run() { loop_.Run(); }
+  void Stop();  // as SIGTERM asks for it
+  std::uint16_t port() const { return server_->port(); }
+  Loop& loop() { return loop_; }
+
+  void StepSoon() override { step_.After(Duration(0)); }
+  void WakeAfter(Duration d) override { wake_.After(d); }
+  void TellPeers(const std::string& body) override { peers_->TellAll(body); }
+  void Log(const std::string& line) override;
+
+ private:
+  void Step();
+  void EndIfDone();
+
+  const Config config_;
+  SystemClock clock_;
+  Loop loop_;
+  Timer step_, wake_, close_, end_;
+  Ledger ledger_;
+  Store store_;
+  EndpointPool pool_;
+  Notices notices_;
+  Chain chain_;
+  std::unique_ptr<Peers> peers_;
+  std::unique_ptr<PlatformFront> front_;
+  std::unique_ptr<Watch> watch_;
+  std::unique_ptr<Server> server_;
+  std::unique_ptr<Signal> term_, interrupt_;
+  bool stopping_ = false;
+};
+
+}  // namespace sagetally
+
+#endif  // SAGETALLY_SRC_APP_DISPATCHER_H_
--- a/src/benchlink/main.cpp
+++ b/src/benchlink/main.cpp
@@ -1,17 +1,18 @@
 // Adapter between the bench's wire (one JSON value a line) and sagetally::Sender. It translates and decides
 // nothing. Malformed input ends it with one line on standard error and exit code 1.
-#include <cmath>
+#include <array>
+#include <charconv>
 #include <iostream>
 #include <map>
-#include <nlohmann/json.hpp>
 #include <optional>
 #include <stdexcept>
 #include <string>
-#include <type_traits>
 #include <utility>
 #include <variant>
 #include <vector>
 
+#include "config/json.h"
+#include "config/settings.h"
 #include "sagetally/sender.h"
 
 namespace {
@@ -19,172 +20,27 @@
 using sagetally::Action;
 using sagetally::Duration;
 using sagetally::Event;
-using Json = nlohmann::json;
+using namespace sagetally::json;
 
-[[noreturn]] void Malformed(const std::string& what) { throw std::runtime_error(what); }
-
-const Json& Need(const Json& object, const char* name) {
-  if (!object.is_object()) Malformed(std::string("no object around '") + name + "'");
-  const auto found = object.find(name);
-  if (found == object.end() || found->is_null()) Malformed(std::string("missing field '") + name + "'");
-  return *found;
-}
-
-template <typename T>
-T As(const Json& value, const char* name) {
-  bool fits = false;
-  if constexpr (std::is_same_v<T, bool>) {
-    fits = value.is_boolean();
-  } else if constexpr (std::is_same_v<T, std::string>) {
-    fits = value.is_string();
-  } else if constexpr (std::is_floating_point_v<T>) {
-    fits = value.is_number() && std::isfinite(value.get<double>());
-  } else {
-    fits = value.is_number_integer() || (value.is_number() && std::trunc(value.get<double>()) == value);
-    if (fits && !value.is_number_unsigned()) {
-      fits = std::abs(value.get<double>()) <= 9e15;
-    }
-  }
-  if (!fits) Malformed(std::string("wrong type of '") + name + "'");
-  return value.get<T>();
-}
-
-template <typename T>
-T Get(const Json& object, const char* name) {
-  return As<T>(Need(object, name), name);
-}
-
-template <typename T>
-T Get(const Json& object, const char* name, T otherwise) {
-  if (!object.is_object()) Malformed(std::string("no object around '") + name + "'");
-  const auto found = object.find(name);
-  if (found == object.end() || found->is_null()) return otherwise;
-  return As<T>(*found, name);
-}
-
-Duration Milliseconds(double ms) {
-  if (std::abs(ms) > 1e12) Malformed("time out of range");
-  return Duration(std::llround(ms * 1000.0));
-}
-
-template <typename... Otherwise>
-Duration GetMs(const Json& object, const char* name, Otherwise... otherwise) {
-  return Milliseconds(Get<double>(object, name, otherwise...));
-}
-
-const Json& Part(const Json& params, const char* name) {
-  static const Json kEmpty = Json::object();
-  const auto found = params.find(name);
-  if (found == params.end() || found->is_null()) return kEmpty;
-  if (!found->is_object()) Malformed(std::string("wrong type of '") + name + "'");
-  return *found;
-}
-
-const Json& List(const Json& object, const char* name) {
-  const Json& value = Need(object, name);
-  if (!value.is_array()) Malformed(std::string("wrong type of '") + name + "'");
-  return value;
-}
-
-sagetally::Settings ReadSettings(const Json& params) {
-  sagetally::Settings s;
-  for (const Json& grade : List(params, "grades")) {
-    sagetally::ClassSettings c;
-    c.aim = GetMs(grade, "slo");
-    c.deadline = GetMs(grade, "deadline");
-    c.worth = Get<double>(grade, "credit", 1.0);
-    c.late_share = Get<double>(grade, "lateShare", 0.0);
-    const auto effect = Get<std::string>(grade, "idempotency");
-    if (effect == "pure") {
-      c.effect = sagetally::Effect::kSafe;
-    } else if (effect == "token") {
-      c.effect = sagetally::Effect::kKeyed;
-    } else if (effect == "side_effect") {
-      c.effect = sagetally::Effect::kUnsafe;
-    } else {
-      Malformed("unknown idempotency '" + effect + "'");
-    }
-    const auto group = Get<std::string>(grade, "group", "all");
-    c.key_scope = group == "all"    ? sagetally::KeyScope::kAll
-                  : group == "zone" ? sagetally::KeyScope::kZone
-                                    : sagetally::KeyScope::kEndpoint;
-    c.repeat_window = GetMs(grade, "repeatWindow", 0.0);
-    c.in_order = Get<bool>(grade, "inOrder", false);
-    s.classes.push_back(c);
-  }
-  const Json& specifics = Part(params, "specifics");
-  const std::size_t kinds = params.contains("flavors") ? List(params, "flavors").size() : 1;
-  s.kinds.resize(kinds == 0 ? 1 : kinds);
-  for (std::size_t k = 0; k < s.kinds.size(); ++k) {
-    if (specifics.contains("kindApart") && k < List(specifics, "kindApart").size()) {
-      s.kinds[k].routes_apart = As<bool>(specifics["kindApart"][k], "kindApart");
-    }
-    if (specifics.contains("bundleMax") && k < List(specifics, "bundleMax").size()) {
-      s.kinds[k].batch_max = As<int>(specifics["bundleMax"][k], "bundleMax");
-    }
-  }
-  if (specifics.contains("feeByZone")) {
-    for (const Json& fee : List(specifics, "feeByZone")) s.zone_fee.push_back(As<double>(fee, "feeByZone"));
-  }
-  const Json& caps = Part(params, "caps");
-  const Json& rules = Part(params, "rules");
-  const Json& penalties = Part(params, "penalties");
-  s.senders = Get<int>(params, "balancers", 1);
-  s.ordinal = Get<int>(params, "ordinal", 0);
-  s.zone = Get<int>(params, "zone", 0);
-  s.slots = Get<int>(specifics, "callsOut");
-  s.most_held = Get<int>(caps, "mostHeld");
-  s.max_attempts = Get<int>(caps, "maxAttempts");
-  s.multiplex = Get<int>(caps, "multiplex", 1);
-  s.may_probe = Get<bool>(caps, "probes", false);
-  s.may_tell_wait = Get<bool>(caps, "retryAfter", false);
-  const auto weights = Get<std::string>(params, "weightKind", "nominal");
-  s.rates = weights == "silent"  ? sagetally::Rates::kUntold
-            : weights == "rough" ? sagetally::Rates::kRough
-                                 : sagetally::Rates::kNominal;
-  s.over_share_worth = Get<double>(params, "overShareWorth", 1.0);
-  if (params.contains("tenants")) {
-    for (const Json& tenant : List(params, "tenants")) {
-      s.tenants.push_back({Get<double>(tenant, "portion", 0.0), Get<double>(tenant, "allowancePerS", 0.0)});
-    }
-  }
-  s.second_copies = Get<bool>(caps, "secondCopies", false);
-  s.refused_price = Get<double>(specifics, "refusalCost", 0.0);
-  s.late = Get<std::string>(specifics, "late", "linear") == "halving" ? sagetally::LateWorth::kHalving
-                                                                      : sagetally::LateWorth::kLinear;
-  s.list_on_request = Get<std::string>(params, "discovery", "automatic") == "subscribe";
-  s.most_client_wait = GetMs(caps, "maxRetryAfter", 0.0);
-  s.connection_idle = GetMs(caps, "connIdle", 0.0);
-  s.handshake_price = Get<double>(penalties, "handshake", 0.0);
-  s.cross_zone_price = Get<double>(penalties, "crossZone", 0.0);
-  s.answer_slack = GetMs(rules, "answerSlack", 0.0);
-  s.ask_every = GetMs(rules, "askEvery", 0.0);
-  s.cold_share = Get<double>(rules, "coldShare", 1.0);
-  s.fall_multiple = Get<double>(rules, "fallMultiple", 1.0);
-  s.tip_after = GetMs(rules, "tipAfter", 0.0);
-  s.warm_within = GetMs(rules, "warmWithin", 0.0);
-  s.key_quiet = GetMs(rules, "keyQuiet", 0.0);
-  return s;
-}
-
-sagetally::Outcome ReadOutcome(const Json& body) {
+sagetally::Outcome ReadOutcome(const Value body) {
   const int code = Get<int>(body, "code");
   if (code < 0 || code > 7) Malformed("unknown outcome");
   return static_cast<sagetally::Outcome>(code);
 }
 
-sagetally::LoadReport ReadLoad(const Json& body) {
-  const Json& stats = Part(body, "serverStats");
+sagetally::LoadReport ReadLoad(const Value body) {
+  Value stats;
+  if (!Find(body, "serverStats", stats)) return {};
   return {Get<double>(stats, "x0", 0.0), Get<double>(stats, "x1", 0.0)};
 }
 
 class Link {
  public:
   // Answers one batch.
-  Json Answer(const Json& batch) {
+  std::string Answer(Value batch) {
     const Duration now = GetMs(batch, "moment");
-    Json groups = Json::array();
-    for (const Json& group : List(batch, "groups")) {
+    std::string groups;
+    for (const Value group : List(batch, "groups")) {
       const auto name = Get<std::string>(group, "nodeId");
       std::vector<Event> events;
       std::vector<Action> actions;
@@ -197,18 +53,22 @@
         found->second.Step(now, events, actions);
         events.clear();
       };
-      for (const Json& tagged : List(group, "happened")) {
-        if (!tagged.is_object() || tagged.size() != 1) Malformed("an event is an object with one key");
-        const std::string& kind = tagged.begin().key();
-        const Json& body = tagged.begin().value();
+      for (const Value tagged : List(group, "happened")) {
+        simdjson::dom::object fields;
+        if (tagged.get(fields) != simdjson::SUCCESS || fields.size() != 1) {
+          Malformed("an event is an object with one key");
+        }
+        const std::string kind(fields.begin().key());
+        const Value body = fields.begin().value();
         if (!body.is_object()) Malformed("the body of '" + kind + "' is no object");
         if (kind == "SnapshotRows") {
           ReadRows(body);
         } else if (kind == "Begin") {
           actions.clear();
           events.clear();
-          senders_.insert_or_assign(
-              name, sagetally::Sender(ReadSettings(Need(body, "params")), Get<std::uint64_t>(body, "seed")));
+          senders_.insert_or_assign(name,
+                                    sagetally::Sender(sagetally::ReadSettings(Need(body, "params")).module,
+                                                      Get<std::uint64_t>(body, "seed")));
         } else if (senders_.find(name) == senders_.end()) {
           Malformed("event for instance '" + name + "' that has not begun");
         } else if (kind == "Retire") {
@@ -221,19 +81,21 @@
       }
       step();
       if (actions.empty()) continue;
-      Json cmds = Json::array();
+      std::string cmds;
       for (const Action& action : actions) {
-        cmds.push_back(std::visit([](const auto& a) { return Write(a); }, action));
+        if (!cmds.empty()) cmds += ',';
+        cmds += std::visit([](const auto& a) { return Write(a); }, action);
       }
-      groups.push_back({{"nodeId", name}, {"cmds", std::move(cmds)}});
+      if (!groups.empty()) groups += ',';
+      groups += "{\"nodeId\":" + Quote(name) + ",\"cmds\":[" + cmds + "]}";
     }
-    return {{"groups", std::move(groups)}};
+    return "{\"groups\":[" + groups + "]}";
   }
 
  private:
-  void ReadRows(const Json& body) {
+  void ReadRows(const Value body) {
     std::vector<sagetally::EndpointEntry> rows;
-    for (const Json& host : List(body, "hosts")) {
+    for (const Value host : List(body, "hosts")) {
       sagetally::EndpointEntry e;
       e.endpoint = Get<std::string>(host, "endpoint");
       e.destination = Get<int>(host, "destination");
@@ -255,7 +117,7 @@
     lists_[Get<int>(body, "slot")] = std::move(rows);
   }
 
-  std::optional<Event> ReadEvent(const std::string& kind, const Json& body) {
+  std::optional<Event> ReadEvent(const std::string& kind, const Value body) {
     if (kind == "BackendsChanged") {
       sagetally::ListChanged e;
       const auto what = Get<std::string>(body, "kind");
@@ -308,26 +170,51 @@
     Malformed("unknown event '" + kind + "'");
   }
 
-  static double Ms(Duration d) { return static_cast<double>(d.count()) / 1000.0; }
-  static Json Write(const sagetally::Send& a) {
-    return {{"Forward", {{"req", a.id}, {"endpoint", a.endpoint}, {"within", Ms(a.time_out)}}}};
+  // {"name":{"field":value,...}}, the values being JSON already.
+  static std::string Command(const char* name,
+                             std::initializer_list<std::pair<const char*, std::string>> fields) {
+    std::string body;
+    for (const auto& [field, value] : fields) {
+      if (!body.empty()) body += ',';
+      body += Quote(field) + ":" + value;
+    }
+    return "{" + Quote(name) + ":{" + body + "}}";
+  }
+  static std::string Ms(Duration d) {
+    std::array<char, 32> text;
+    const double ms = static_cast<double>(d.count()) / 1000.0;
+    return {text.data(), std::to_chars(text.data(), text.data() + text.size(), ms).ptr};
+  }
+  static std::string Write(const sagetally::Send& a) {
+    return Command("Forward",
+                   {{"endpoint", Quote(a.endpoint)}, {"req", Quote(a.id)}, {"within", Ms(a.time_out)}});
+  }
+  static std::string Write(const sagetally::Refuse& a) {
+    return Command("TurnAway", {{"req", Quote(a.id)}, {"holdOff", Ms(a.come_back_after)}});
+  }
+  static std::string Write(const sagetally::Fail& a) {
+    return Command("ReportFailure", {{"req", Quote(a.id)}});
   }
-  static Json Write(const sagetally::Refuse& a) {
-    return {{"TurnAway", {{"req", a.id}, {"holdOff", Ms(a.come_back_after)}}}};
+  static std::string Write(const sagetally::Cancel& a) {
+    return Command("Revoke", {{"req", Quote(a.id)}, {"copy", std::to_string(a.attempt)}});
   }
-  static Json Write(const sagetally::Fail& a) { return {{"ReportFailure", {{"req", a.id}}}}; }
-  static Json Write(const sagetally::Cancel& a) { return {{"Revoke", {{"req", a.id}, {"copy", a.attempt}}}}; }
-  static Json Write(const sagetally::Probe& a) { return {{"Ping", {{"endpoint", a.endpoint}}}}; }
-  static Json Write(const sagetally::CloseIdle& a) { return {{"Close", {{"endpoint", a.endpoint}}}}; }
-  static Json Write(const sagetally::Wake& a) {
-    return {{"After", {{"delay", Ms(a.after)}, {"keyBack", 0}}}};
+  static std::string Write(const sagetally::Probe& a) {
+    return Command("Ping", {{"endpoint", Quote(a.endpoint)}});
   }
-  static Json Write(const sagetally::Track& a) { return {{"Track", {{"want", a.on}}}}; }
-  static Json Write(const sagetally::FetchList&) { return {{"ReadList", Json::object()}}; }
-  static Json Write(const sagetally::TellPeers& a) {
-    return {{"Announce", {{"dst", "*"}, {"body", a.body}}}};
+  static std::string Write(const sagetally::CloseIdle& a) {
+    return Command("Close", {{"endpoint", Quote(a.endpoint)}});
   }
-  static Json Write(const sagetally::Log& a) { return {{"Record", {{"what", a.line}}}}; }
+  static std::string Write(const sagetally::Wake& a) {
+    return Command("After", {{"delay", Ms(a.after)}, {"keyBack", "0"}});
+  }
+  static std::string Write(const sagetally::Track& a) {
+    return Command("Track", {{"want", a.on ? "true" : "false"}});
+  }
+  static std::string Write(const sagetally::FetchList&) { return Command("ReadList", {}); }
+  static std::string Write(const sagetally::TellPeers& a) {
+    return Command("Announce", {{"dst", Quote("*")}, {"body", Quote(a.body)}});
+  }
+  static std::string Write(const sagetally::Log& a) { return Command("Record", {{"what", Quote(a.line)}}); }
 
   std::map<std::string, sagetally::Sender> senders_;
   std::map<int, std::vector<sagetally::EndpointEntry>> lists_;
@@ -338,11 +225,15 @@
 int main() {
   std::ios::sync_with_stdio(false);
   Link link;
+  simdjson::dom::parser parser;
   std::string line;
   while (std::getline(std::cin, line)) {
     try {
-      const std::string reply = link.Answer(Json::parse(line)).dump();
-      std::cout << reply << '\n' << std::flush;
+      Value batch;
+      if (const auto error = parser.parse(line).get(batch)) {
+        throw std::runtime_error(std::string("no JSON: ") + simdjson::error_message(error));
+      }
+      std::cout << link.Answer(batch) << '\n' << std::flush;
     } catch (const std::exception& error) {
       std::string what = error.what();
       for (char& c : what) {
--- a/src/brain/decide.cpp
+++ b/src/brain/decide.cpp
@@ -265,6 +265,12 @@
       keys_[m.key].order.push_back(&m);
     }
     ++held_;
+    // The history of a message from before a restart binds as if this sender had made the attempts itself.
+    m.attempts = e.attempts;
+    m.may_have_run = e.may_have_run;
+    const auto ran_at = endpoints_.find(e.may_have_run_at);
+    if (m.may_have_run && ran_at != endpoints_.end()) m.may_at = &ran_at->second;
+    if ((m.may_have_run && c.effect == Effect::kUnsafe) || m.attempts >= s_.max_attempts) return GiveUp(m);
     Enqueue(m);
   }
 
@@ -435,7 +441,7 @@
       if (m.may_have_run && c.effect == Effect::kKeyed) {
         // A keyed message that may have run goes only where, and while, its key is remembered.
         if (now_ + kLeastNotice > *m.may_have_run + c.repeat_window) continue;
-        if (c.key_scope == KeyScope::kZone && p->zone != m.may_at->zone) continue;
+        if (c.key_scope == KeyScope::kZone && (!m.may_at || p->zone != m.may_at->zone)) continue;
         if (c.key_scope == KeyScope::kEndpoint && p != m.may_at) continue;
       }
       double price = kQueueing * p->out + Doubt(*p);
--- /dev/null
+++ b/src/config/config.cpp
@@ -0,0 +1,122 @@
+#include "config/config.h"
+
+#include <algorithm>
+#include <charconv>
+#include <fstream>
+#include <sstream>
+
+namespace sagetally {
+namespace {
+
+using namespace json;
+
+int Position(const std::vector<std::string>& names, const std::string& name) {
+  const auto at = std::find(names.begin(), names.end(), name);
+  return at == names.end() ? -1 : static_cast<int>(at - names.begin());
+}
+
+// Runs a part of the reading; what fails in it is said to be in `key`.
+template <typename F>
+void Within(const char* key, F read) {
+  try {
+    read();
+  } catch (const std::exception& e) {
+    Malformed(std::string(key) + ": " + e.what());
+  }
+}
+
+}  // namespace
+
+Address ParseAddress(std::string_view text, const char* what) {
+  const std::size_t colon = text.rfind(':');
+  Address a;
+  if (colon != std::string_view::npos && colon > 0) {
+    a.host = text.substr(0, colon);
+    const char* end = text.data() + text.size();
+    const auto [at, error] = std::from_chars(text.data() + colon + 1, end, a.port);
+    if (error == std::errc() && at == end) return a;
+  }
+  Malformed(std::string(what) + ": '" + std::string(text) + "' is no address");
+}
+
+ListNews ReadList(Value list, const SiteSettings& site) {
+  ListNews news;
+  news.revision = Get<std::int64_t>(list, "rev");
+  news.whole = Get<bool>(list, "all", false);
+  for (const Value target : List(list, "targets")) {
+    EndpointNews n;
+    EndpointEntry& e = n.entry;
+    e.endpoint = Get<std::string>(target, "uid");
+    n.address = Get<std::string>(target, "endpoint");
+    ParseAddress(n.address, "endpoint");
+    e.destination = Get<int>(target, "pod_group");
+    e.zone = std::max(0, Position(site.zones, Get<std::string>(target, "az", "")));
+    e.kind = std::max(0, Position(site.kinds, Get<std::string>(target, "model", "")));
+    e.rate = Get<double>(target, "capacity_hint", 0.0);
+    const auto state = Get<std::string>(target, "state");
+    e.state = state == "in_service"    ? EndpointEntry::State::kUp
+              : state == "terminating" ? EndpointEntry::State::kDraining
+                                       : EndpointEntry::State::kRemoved;
+    if (e.state == EndpointEntry::State::kRemoved && state != "terminated") {
+      Malformed("unknown state '" + state + "'");
+    }
+    news.endpoints.push_back(std::move(n));
+  }
+  return news;
+}
+
+Config ParseConfig(const std::string& text, const std::function<const char*(const char*)>& environment) {
+  simdjson::dom::parser parser;
+  Value root;
+  if (const auto error = parser.parse(text).get(root)) {
+    Malformed(std::string("no JSON: ") + simdjson::error_message(error));
+  }
+  const auto told = [&](const char* variable, const char* key) {
+    const char* value = environment(variable);
+    return value != nullptr && *value != 0 ? std::string(value) : Get<std::string>(root, key, "");
+  };
+  Config c;
+  c.name = told("BALANCER_NAME", "name");
+  c.listen = ParseAddress(told("BALANCER_LISTEN", "listen"), "listen");
+  c.discovery = ParseAddress(told("BALANCER_DISCOVERY", "discovery"), "discovery");
+  c.state_folder = told("BALANCER_STATE", "state");
+  if (c.state_folder.empty()) Malformed("missing field 'state' (BALANCER_STATE)");
+  const auto seed = Get<std::string>(root, "seed", "0");
+  if (std::from_chars(seed.data(), seed.data() + seed.size(), c.seed, 16).ptr != seed.data() + seed.size()) {
+    Malformed("wrong type of 'seed'");
+  }
+  Value limits;
+  c.disk_bytes = 3'000'000;
+  c.sockets = 1024;
+  if (Find(root, "limits", limits)) {
+    Within("limits", [&] {
+      c.disk_bytes = static_cast<std::size_t>(Get<double>(limits, "disk_mb", 3.0) * 1e6);
+      c.sockets = Get<std::size_t>(limits, "sockets", 1024);
+    });
+  }
+  c.peer_listen = Get<std::string>(root, "peer_listen", "");
+  c.peers_all = Get<std::string>(root, "peers_all", "");
+  if (!c.peer_listen.empty()) ParseAddress(c.peer_listen, "peer_listen");
+  if (!c.peers_all.empty()) ParseAddress(c.peers_all, "peers_all");
+  Value peers;
+  if (Find(root, "peers", peers)) {
+    for (const Value peer : List(root, "peers")) c.peers.push_back(As<std::string>(peer, "peers"));
+  }
+  Within("settings", [&] { c.site = ReadSettings(Need(root, "settings")); });
+  Value known;
+  if (Find(root, "known", known)) Within("known", [&] { c.known = ReadList(known, c.site); });
+  c.known.whole = c.known.saved = true;
+  return c;
+}
+
+Config ReadConfig(const std::function<const char*(const char*)>& environment) {
+  const char* path = environment("BALANCER_CONFIG");
+  if (path == nullptr || *path == 0) Malformed("BALANCER_CONFIG is not set");
+  std::ifstream file(path);
+  if (!file) Malformed(std::string("BALANCER_CONFIG: can't read '") + path + "'");
+  std::ostringstream text;
+  text << file.rdbuf();
+  return ParseConfig(text.str(), environment);
+}
+
+}  // namespace sagetally
--- /dev/null
+++ b/src/config/config.h
@@ -0,0 +1,44 @@
+// What a dispatcher is told by the platform: the environment and the file it names.
+#ifndef SAGETALLY_SRC_CONFIG_CONFIG_H_
+#define SAGETALLY_SRC_CONFIG_CONFIG_H_
+
+#include <functional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "config/settings.h"
+#include "core/types.h"
+
+namespace sagetally {
+
+struct Address {
+  std::string host;
+  std::uint16_t port = 0;
+};
+// "10.0.0.4:8443". Throws std::runtime_error that names `what`.
+Address ParseAddress(std::string_view text, const char* what);
+
+struct Config {
+  std::string name, state_folder;
+  Address listen, discovery;
+  std::string peer_listen;         // empty: no peers
+  std::vector<std::string> peers;  // by ordinal, own included
+  std::string peers_all;
+  std::uint64_t seed = 0;
+  std::size_t disk_bytes = 0, sockets = 0;
+  SiteSettings site;
+  ListNews known;
+};
+
+// Reads the file named by BALANCER_CONFIG; the other BALANCER_ variables go before what it says.
+// Throws std::runtime_error naming the key at fault.
+Config ReadConfig(const std::function<const char*(const char*)>& environment);
+Config ParseConfig(const std::string& text, const std::function<const char*(const char*)>& environment);
+
+// A list in discovery's form.
+ListNews ReadList(json::Value list, const SiteSettings& site);
+
+}  // namespace sagetally
+
+#endif  // SAGETALLY_SRC_CONFIG_CONFIG_H_
--- /dev/null
+++ b/src/core/ledger.cpp
@@ -0,0 +1,72 @@
+#include "core/ledger.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sagetally {
+
+Message& Ledger::Add(Message message) {
+  if (message.number == 0) message.number = next_;
+  next_ = std::max(next_, message.number + 1);
+  const std::uint64_t number = message.number;
+  by_id_[message.request.id] = number;
+  held_ += message.end == End::kNone ? 1 : 0;
+  Message& added = messages_.insert_or_assign(number, std::move(message)).first->second;
+  if (added.end != End::kNone) remembered_.emplace_back(added.ended_at, number);
+  return added;
+}
+
+Message* Ledger::Find(std::uint64_t number) {
+  const auto at = messages_.find(number);
+  return at == messages_.end() ? nullptr : &at->second;
+}
+
+Message* Ledger::FindById(const std::string& id) {
+  const auto at = by_id_.find(id);
+  return at == by_id_.end() ? nullptr : Find(at->second);
+}
+
+// A refused one is forgotten: the same event again is a new message.
+bool Ledger::Remembers(const Message& m) { return m.request.form == Form::kEvent && m.end != End::kRefused; }
+
+void Ledger::End(Message& message, enum End end, Duration again, Time now) {
+  if (message.end != End::kNone) return;
+  message.end = end;
+  message.again = again;
+  message.ended_at = now;
+  message.notice_owed = end == End::kFailed || end == End::kRefused ||
+                        (end == End::kDelivered && message.request.form == Form::kEvent);
+  --held_;
+  if (Remembers(message)) remembered_.emplace_back(now, message.number);
+}
+
+void Ledger::Settle(Message& message) {
+  if (message.end == End::kNone || message.out) return;
+  if (Remembers(message)) {
+    message.request.body = std::string();  // only its answer is wanted any more
+    return;
+  }
+  if (!message.notice_owed) Remove(message.number);
+}
+
+void Ledger::Remove(std::uint64_t number) {
+  const auto at = messages_.find(number);
+  if (at == messages_.end()) return;
+  const auto named = by_id_.find(at->second.request.id);
+  if (named != by_id_.end() && named->second == number) by_id_.erase(named);
+  if (at->second.end == End::kNone) --held_;
+  messages_.erase(at);
+}
+
+void Ledger::Age(Time now) {
+  while (!remembered_.empty() &&
+         (remembered_.front().first + kRemembered < now || remembered_.size() > kMostRemembered)) {
+    const std::uint64_t number = remembered_.front().second;
+    Message* m = Find(number);
+    if (m != nullptr && m->notice_owed) break;  // still to be told
+    remembered_.pop_front();
+    if (m != nullptr && !m->out) Remove(number);
+  }
+}
+
+}  // namespace sagetally
--- /dev/null
+++ b/src/core/ledger.h
@@ -0,0 +1,46 @@
+// Who owes what: every message held, and those ended whose end is still owed to somebody or remembered.
+#ifndef SAGETALLY_SRC_CORE_LEDGER_H_
+#define SAGETALLY_SRC_CORE_LEDGER_H_
+
+#include <deque>
+#include <map>
+#include <string>
+#include <unordered_map>
+
+#include "core/types.h"
+
+namespace sagetally {
+
+class Ledger {
+ public:
+  // How long, and how many, ends of events are remembered so that an event sent again meets the same answer.
+  static constexpr Duration kRemembered = std::chrono::minutes(5);
+  static constexpr std::size_t kMostRemembered = 1500;
+
+  Message& Add(Message message);
+  Message* Find(std::uint64_t number);
+  Message* FindById(const std::string& id);
+  int held() const { return held_; }
+  std::size_t size() const { return messages_.size(); }
+  const std::map<std::uint64_t, Message>& messages() const { return messages_; }
+
+  void End(Message& message, enum End end, Duration again, Time now);
+  // Lets an ended message go once no call is out for it and its end is neither owed nor remembered.
+  void Settle(Message& message);
+  void Remove(std::uint64_t number);
+  // Forgets ends remembered for long enough.
+  void Age(Time now);
+
+ private:
+  static bool Remembers(const Message& message);
+
+  std::map<std::uint64_t, Message> messages_;
+  std::unordered_map<std::string, std::uint64_t> by_id_;
+  std::deque<std::pair<Time, std::uint64_t>> remembered_;
+  std::uint64_t next_ = 1;
+  int held_ = 0;
+};
+
+}  // namespace sagetally
+
+#endif  // SAGETALLY_SRC_CORE_LEDGER_H_
--- /dev/null
+++ b/src/core/ports.h
@@ -0,0 +1,49 @@
+// What the core needs of the world. Adapters stand behind these: sockets, the store, timers.
+#ifndef SAGETALLY_SRC_CORE_PORTS_H_
+#define SAGETALLY_SRC_CORE_PORTS_H_
+
+#include <span>
+#include <string>
+
+#include "core/types.h"
+
+namespace sagetally {
+
+class Journal {  // outlives the process; each call is on record when it returns
+ public:
+  virtual ~Journal() = default;
+  // All or nothing; false if there is no room, and then nothing was written.
+  virtual bool Taken(std::span<const Message* const> messages) = 0;
+  virtual void Attempted(const Message& message) = 0;
+  virtual void Outcame(const Message& message, Outcome outcome) = 0;
+  virtual void Ended(const Message& message) = 0;
+  virtual void Told(const Message& message) = 0;  // its notice was heard
+};
+
+class Caller {  // calls to endpoints; each Call gets one CallResult, later
+ public:
+  virtual ~Caller() = default;
+  virtual void Call(const CallOrder& order) = 0;
+  virtual void Cancel(std::uint64_t number) = 0;
+  virtual void CloseIdle(const std::string& endpoint) = 0;
+  virtual void Learn(const EndpointNews& news) = 0;
+};
+
+class Teller {  // tells ends; reports back to Book when one was heard
+ public:
+  virtual ~Teller() = default;
+  virtual void Tell(const Message& message) = 0;
+};
+
+class Host {  // the loop that the core runs in
+ public:
+  virtual ~Host() = default;
+  virtual void StepSoon() = 0;             // call Route::Step once this round's events are in
+  virtual void WakeAfter(Duration d) = 0;  // one wake at a time; a new one replaces the last
+  virtual void TellPeers(const std::string& body) = 0;
+  virtual void Log(const std::string& line) = 0;
+};
+
+}  // namespace sagetally
+
+#endif  // SAGETALLY_SRC_CORE_PORTS_H_
--- /dev/null
+++ b/src/front/platform/platform.cpp
@@ -0,0 +1,94 @@
+#include "front/platform/platform.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace sagetally {
+
+std::optional<Duration> ParseDeadline(std::string_view text) {
+  double value = 0;
+  const char* end = text.data() + text.size();
+  const auto [at, error] = std::from_chars(text.data(), end, value);
+  if (error != std::errc() || !(value >= 0) || value > 1e12) return std::nullopt;
+  const std::string_view unit(at, static_cast<std::size_t>(end - at));
+  if (unit == "m") return Duration(static_cast<std::int64_t>(value * 1000));
+  if (unit == "u") return Duration(static_cast<std::int64_t>(value));
+  return std::nullopt;
+}
+
+std::optional<int> ParseDestination(std::string_view envelope) {
+  while (!envelope.empty()) {
+    const std::size_t comma = std::min(envelope.find_first_of(",; "), envelope.size());
+    std::string_view part = envelope.substr(0, comma);
+    envelope.remove_prefix(std::min(comma + 1, envelope.size()));
+    if (!part.starts_with("dest=")) continue;
+    part.remove_prefix(5);
+    int value = 0;
+    const auto [at, error] = std::from_chars(part.data(), part.data() + part.size(), value);
+    if (error == std::errc() && at == part.data() + part.size() && !part.empty() && value >= 0) return value;
+    return std::nullopt;
+  }
+  return std::nullopt;
+}
+
+std::string RetryAfter(Duration d) {
+  const auto ms = (d.count() + 999) / 1000;
+  const std::string rest = std::to_string(ms % 1000);
+  return std::to_string(ms / 1000) + "." + std::string(3 - rest.size(), '0') + rest;
+}
+
+void SendAnswer(Exchange& exchange, const Answer& answer) {
+  std::vector<std::pair<std::string, std::string>> headers;
+  if (answer.verdict == Verdict::kRefused && answer.again > Duration(0)) {
+    headers.emplace_back("Retry-After", RetryAfter(answer.again));
+  }
+  const int code = answer.verdict == Verdict::kTaken ? 202 : answer.verdict == Verdict::kRefused ? 429 : 400;
+  exchange.Answer(code, answer.why.empty() ? "" : answer.why + "\n", headers);
+}
+
+std::string PlatformFront::Read(const Exchange& exchange, Request& request) const {
+  const std::string name = exchange.Header("X-Class");
+  const std::string path = exchange.path();
+  const std::string first = path.empty() ? "" : path.substr(1, path.find('/', 1) - 1);
+  const auto at = std::find(site_.classes.begin(), site_.classes.end(), name.empty() ? first : name);
+  if (at == site_.classes.end()) return "unknown class in X-Class or the path";
+  request.message_class = static_cast<int>(at - site_.classes.begin());
+  request.id = exchange.Header("X-Request-Id");
+  if (request.id.empty()) return "X-Request-Id is missing";
+  const auto left = ParseDeadline(exchange.Header("X-Deadline"));
+  if (!left) return "X-Deadline is missing or no number with the unit m or u";
+  request.time_left = *left;
+  const auto destination = ParseDestination(exchange.Header("X-Envelope"));
+  if (!destination) return "X-Envelope names no dest";
+  request.destination = *destination;
+  request.key = exchange.Header("Idempotency-Key");
+  request.body = exchange.body();
+  return "";
+}
+
+void PlatformFront::Handle(const std::shared_ptr<Exchange>& exchange) {
+  const std::string method = exchange->method();
+  if (method == "GET" && exchange->path() == "/healthz") {
+    exchange->Answer(200, "ready\n");
+    return;
+  }
+  if (method != "POST") {
+    exchange->Answer(method == "GET" ? 404 : 405, "messages come by POST\n");
+    return;
+  }
+  Request request;
+  if (const std::string problem = Read(*exchange, request); !problem.empty()) {
+    exchange->Answer(400, problem + "\n");
+    return;
+  }
+  std::vector<Request> one;
+  one.push_back(std::move(request));
+  intake_.Take(std::move(one), [exchange](const Answer& answer) {
+    if (exchange->gone()) return false;
+    SendAnswer(*exchange, answer);
+    return true;
+  });
+}
+
+}  // namespace sagetally
--- /dev/null
+++ b/src/front/platform/platform.h
@@ -0,0 +1,40 @@
+// The platform's protocol as core requests: one message per HTTP request.
+#ifndef SAGETALLY_SRC_FRONT_PLATFORM_PLATFORM_H_
+#define SAGETALLY_SRC_FRONT_PLATFORM_PLATFORM_H_
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "config/settings.h"
+#include "core/types.h"
+#include "net/server.h"
+#include "stages/intake.h"
+
+namespace sagetally {
+
+// "480m" (milliseconds) or "480u" (microseconds).
+std::optional<Duration> ParseDeadline(std::string_view text);
+// The `dest` of "dest=7" or "a=1,dest=7".
+std::optional<int> ParseDestination(std::string_view envelope);
+// Seconds, decimal, for Retry-After.
+std::string RetryAfter(Duration d);
+// The answer's status, text and headers.
+void SendAnswer(Exchange& exchange, const Answer& answer);
+
+class PlatformFront {
+ public:
+  PlatformFront(const SiteSettings& site, Intake& intake) : site_(site), intake_(intake) {}
+  void Handle(const std::shared_ptr<Exchange>& exchange);
+
+ private:
+  // Fills `request`, or says what is wrong.
+  std::string Read(const Exchange& exchange, Request& request) const;
+
+  const SiteSettings& site_;
+  Intake& intake_;
+};
+
+}  // namespace sagetally
+
+#endif  // SAGETALLY_SRC_FRONT_PLATFORM_PLATFORM_H_
--- /dev/null
+++ b/src/net/endpoint_pool.h
@@ -0,0 +1,66 @@
+// Calls to endpoints over kept connections: one call at a time on each, none sent twice by the library.
+#ifndef SAGETALLY_SRC_NET_ENDPOINT_POOL_H_
+#define SAGETALLY_SRC_NET_ENDPOINT_POOL_H_
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "config/config.h"
+#include "core/ports.h"
+#include "net/loop.h"
+
+namespace sagetally {
+
+class EndpointPool : public Caller {
+ public:
+  struct Limits {
+    Duration connect_timeout{0};
+    Duration idle{0};          // the endpoint's machine closes idle connections after this
+    int most_connections = 1;  // to one endpoint
+  };
+  EndpointPool(Loop& loop, Limits limits, std::function<void(const CallResult&)> back);
+  ~EndpointPool() override;
+
+  void Call(const CallOrder& order) override;
+  void Cancel(std::uint64_t number) override;
+  void CloseIdle(const std::string& endpoint) override;
+  void Learn(const EndpointNews& news) override;
+
+ private:
+  class Connection;
+  struct Endpoint {
+    std::string text;
+    Address address;
+    std::vector<Connection*> idle;  // the longest idle first
+    int open = 0;
+  };
+
+  Connection* Open(Endpoint& endpoint);
+  void Finish(Connection& connection, CallResult result, bool reusable);
+  void Report(CallResult result, bool settle);
+  void ReportNow();
+  void ReportLater();
+  void Drop(Connection& connection);  // closed now or once libevent is out of it
+
+  Loop& loop_;
+  const Limits limits_;
+  std::function<void(const CallResult&)> back_;
+  std::map<std::string, Endpoint> endpoints_;
+  std::map<Connection*, std::unique_ptr<Connection>> connections_;
+  std::map<std::uint64_t, Connection*> calls_;  // by number of the message
+  std::vector<std::unique_ptr<Connection>> dropped_;
+  std::vector<CallResult> now_;
+  std::deque<std::pair<std::chrono::steady_clock::time_point, CallResult>> later_;
+  Timer report_now_, report_later_, sweep_;
+};
+
+// The duration that X-Deadline holds.
+std::string DeadlineText(Duration d);
+
+}  // namespace sagetally
+
+#endif  // SAGETALLY_SRC_NET_ENDPOINT_POOL_H_
--- /dev/null
+++ b/src/net/loop.cpp
@@ -0,0 +1,41 @@
+#include "net/loop.h"
+
+#include <algorithm>
+#include <stdexcept>
+#include <utility>
+
+namespace sagetally {
+namespace {
+
+void Fire(evutil_socket_t, short, void* fire) { (*static_cast<std::function<void()>*>(fire))(); }
+
+event_base* NewBase() {
+  struct ConfigFree {
+    void operator()(event_config* c) const { event_config_free(c); }
+  };
+  const std::unique_ptr<event_config, ConfigFree> config(event_config_new());
+  event_config_set_flag(config.get(), EVENT_BASE_FLAG_PRECISE_TIMER);  // else timers are up to 5 ms late
+  return event_base_new_with_config(config.get());
+}
+
+}  // namespace
+
+Loop::Loop() : base_(NewBase()) {
+  if (!base_) throw std::runtime_error("no event loop");
+}
+
+Timer::Timer(Loop& loop, std::function<void()> fire)
+    : fire_(std::move(fire)), event_(evtimer_new(loop.base(), Fire, &fire_)) {}
+
+void Timer::After(Duration d) {
+  const auto us = std::max<std::int64_t>(0, d.count());
+  const timeval wait{static_cast<time_t>(us / 1'000'000), static_cast<suseconds_t>(us % 1'000'000)};
+  event_add(event_.get(), &wait);
+}
+
+Signal::Signal(Loop& loop, int number, std::function<void()> fire)
+    : fire_(std::move(fire)), event_(evsignal_new(loop.base(), number, Fire, &fire_)) {
+  event_add(event_.get(), nullptr);
+}
+
+}  // namespace sagetally
--- /dev/null
+++ b/src/net/notices.cpp
@@ -0,0 +1,89 @@
+#include "net/notices.h"
+
+#include <event2/buffer.h>
+
+#include <utility>
+
+#include "config/json.h"
+
+namespace sagetally {
+namespace {
+
+constexpr Duration kAgain = std::chrono::milliseconds(50);
+constexpr Duration kUnheard = std::chrono::milliseconds(500);  // the agent answers at once
+constexpr std::size_t kMostLines = 200;                        // in one post
+
+std::string Line(const Message& m) {
+  std::string line = "{\"id\":" + json::Quote(m.request.id) + ",\"status\":";
+  if (m.end != End::kRefused) return line + "\"undeliverable\"}\n";
+  line += "\"deferred\"";
+  const auto again = std::chrono::duration_cast<std::chrono::milliseconds>(m.again).count();
+  if (again > 0) line += ",\"again_ms\":" + std::to_string(again);
+  return line + "}\n";
+}
+
+}  // namespace
+
+Notices::Notices(Loop& loop, const Address& discovery, std::function<void(std::uint64_t)> heard,
+                 std::function<void(const std::string&)> log)
+    : loop_(loop),
+      discovery_(discovery),
+      heard_(std::move(heard)),
+      log_(std::move(log)),
+      post_(loop, [this] { Post(); }),
+      unheard_(loop, [this] { Failed("no answer"); }) {}
+Notices::~Notices() = default;
+
+void Notices::Tell(const Message& message) {
+  waiting_[message.number] = Line(message);
+  if (out_.empty() && !post_.pending()) post_.After(Duration(0));
+}
+
+void Notices::Post() {
+  if (waiting_.empty()) return;
+  if (!connection_) {
+    connection_.reset(
+        evhttp_connection_base_new(loop_.base(), nullptr, discovery_.host.c_str(), discovery_.port));
+    evhttp_connection_set_retries(connection_.get(), 0);
+    evhttp_connection_set_timeout(connection_.get(), 24 * 3600);
+  }
+  evhttp_request* request = evhttp_request_new(Done, this);
+  evkeyvalq* headers = evhttp_request_get_output_headers(request);
+  evhttp_add_header(headers, "Host", discovery_.host.c_str());
+  evhttp_add_header(headers, "Content-Type", "application/json");
+  evbuffer* body = evhttp_request_get_output_buffer(request);
+  for (const auto& [number, line] : waiting_) {
+    if (out_.size() >= kMostLines) break;
+    out_.push_back(number);
+    evbuffer_add(body, line.data(), line.size());
+  }
+  unheard_.After(kUnheard);
+  evhttp_make_request(connection_.get(), request, EVHTTP_REQ_POST, "/v1/notices");
+}
+
+void Notices::Failed(const char* how) {
+  if (!failing_) log_(std::string("notices: ") + how + ", trying again");
+  failing_ = true;
+  unheard_.Stop();
+  out_.clear();
+  post_.After(kAgain);
+}
+
+void Notices::Done(evhttp_request* request, void* self) {
+  auto* n = static_cast<Notices*>(self);
+  if (!n->unheard_.pending()) return;
+  const int code = request == nullptr ? 0 : evhttp_request_get_response_code(request);
+  if (code == 0) return n->Failed("no connection");
+  if (code == 400) n->log_("notices: the platform can't read a post (400)");
+  if (code != 204) return n->Failed("not heard");
+  if (n->failing_) n->log_("notices: heard again");
+  n->failing_ = false;
+  n->unheard_.Stop();
+  for (const std::uint64_t number : std::exchange(n->out_, {})) {
+    n->waiting_.erase(number);
+    n->heard_(number);
+  }
+  if (!n->waiting_.empty()) n->post_.After(Duration(0));
+}
+
+}  // namespace sagetally
--- /dev/null
+++ b/src/net/peers.h
@@ -0,0 +1,34 @@
+// Short notes between dispatchers, over UDP. They may be lost.
+#ifndef SAGETALLY_SRC_NET_PEERS_H_
+#define SAGETALLY_SRC_NET_PEERS_H_
+
+#include <functional>
+#include <string>
+
+#include "config/config.h"
+#include "net/loop.h"
+#include "store/store.h"
+
+namespace sagetally {
+
+class Peers {
+ public:
+  static constexpr std::size_t kMostBytes = 256;  // a longer note voids the run
+
+  Peers(Loop& loop, const Config& config, std::function<void(const PeerNote&)> note);
+  ~Peers();
+  // To all; false if it was too long or there is nobody to tell.
+  bool TellAll(const std::string& body);
+
+ private:
+  static void Readable(evutil_socket_t, short, void* self);
+
+  const Config& config_;
+  std::function<void(const PeerNote&)> note_;
+  Fd socket_;
+  EventPtr event_;
+};
+
+}  // namespace sagetally
+
+#endif  // SAGETALLY_SRC_NET_PEERS_H_
--- /dev/null
+++ b/src/net/watch.h
@@ -0,0 +1,43 @@
+// The watch on discovery's list of endpoints: always on, resumed after the last version heard.
+#ifndef SAGETALLY_SRC_NET_WATCH_H_
+#define SAGETALLY_SRC_NET_WATCH_H_
+
+#include <functional>
+#include <string>
+
+#include "config/config.h"
+#include "net/loop.h"
+
+namespace sagetally {
+
+class Watch {
+ public:
+  // `known`: the version of the list held already.
+  Watch(Loop& loop, const Address& discovery, const SiteSettings& site, std::int64_t known,
+        std::function<void(const ListNews&)> news, std::function<void(const std::string&)> log);
+  ~Watch();
+
+  std::int64_t revision() const { return revision_; }
+
+ private:
+  void Ask();
+  void Lost(const char* how);
+  void Line(const std::string& line);
+  static void Chunk(evhttp_request* request, void* self);
+  static void Done(evhttp_request* request, void* self);
+
+  Loop& loop_;
+  const Address discovery_;
+  const SiteSettings& site_;
+  std::int64_t revision_;
+  std::function<void(const ListNews&)> news_;
+  std::function<void(const std::string&)> log_;
+  simdjson::dom::parser parser_;
+  std::string partial_;
+  ConnectionPtr connection_;
+  Timer silent_, again_;
+};
+
+}  // namespace sagetally
+
+#endif  // SAGETALLY_SRC_NET_WATCH_H_
--- /dev/null
+++ b/src/stages/admit.cpp
@@ -0,0 +1,58 @@
+#include "stages/admit.h"
+
+#include <utility>
+
+namespace sagetally {
+
+void Admit::Take(std::vector<Request> requests, Reply reply) {
+  if (stopping_) {
+    reply({Verdict::kRefused, Duration(0), "stopping"});
+    return;
+  }
+  if (ledger_.held() + static_cast<int>(requests.size()) > most_held_) {
+    reply({Verdict::kRefused, Duration(0), "all places are taken"});
+    return;
+  }
+  const Time now = clock_.Now();
+  std::vector<const Message*> taken;
+  Waiting waiting;
+  for (Request& request : requests) {
+    Message message;
+    message.deadline = now + request.time_left;
+    message.request = std::move(request);
+    const Message& added = ledger_.Add(std::move(message));
+    taken.push_back(&added);
+    waiting.numbers.push_back(added.number);
+  }
+  if (!journal_.Taken(taken)) {
+    for (const std::uint64_t number : waiting.numbers) ledger_.Remove(number);
+    reply({Verdict::kRefused, Duration(0), "no room on disk"});
+    return;
+  }
+  for (const Message* message : taken) route_.Taken(*message);
+  waiting.reply = std::move(reply);
+  waiting_.push_back(std::move(waiting));
+}
+
+void Admit::AnswerTaken() {
+  for (Waiting& waiting : std::exchange(waiting_, {})) {
+    Message* only = waiting.numbers.size() == 1 ? ledger_.Find(waiting.numbers.front()) : nullptr;
+    if (only != nullptr && only->end == End::kRefused && only->attempts == 0) {
+      // Given up in the same step: the answer itself is the end.
+      const Answer answer{Verdict::kRefused, only->again, "no room"};
+      book_.ToldInAnswer(*only);
+      waiting.reply(answer);
+      continue;
+    }
+    if (waiting.reply({})) continue;
+    // The client closed before it was answered and hands the message in anew: this copy is withdrawn.
+    for (const std::uint64_t number : waiting.numbers) {
+      Message* m = ledger_.Find(number);
+      if (m == nullptr || m->end != End::kNone) continue;
+      route_.Withdrawn(*m);
+      book_.End(*m, End::kOver);
+    }
+  }
+}
+
+}  // namespace sagetally
--- /dev/null
+++ b/src/stages/admit.h
@@ -0,0 +1,53 @@
+// Admit: takes requests on, all of a submission or none, once they are on record; refuses at once what cannot
+// be held.
+#ifndef SAGETALLY_SRC_STAGES_ADMIT_H_
+#define SAGETALLY_SRC_STAGES_ADMIT_H_
+
+#include <functional>
+#include <vector>
+
+#include "clock/clock.h"
+#include "core/ledger.h"
+#include "core/ports.h"
+#include "stages/book.h"
+#include "stages/route.h"
+
+namespace sagetally {
+
+// Answers the client; false if it has gone without one.
+using Reply = std::function<bool(const Answer&)>;
+
+class Admit {
+ public:
+  Admit(Ledger& ledger, Journal& journal, Route& route, Book& book, const Clock& clock, int most_held)
+      : ledger_(ledger),
+        journal_(journal),
+        route_(route),
+        book_(book),
+        clock_(clock),
+        most_held_(most_held) {}
+
+  void Take(std::vector<Request> requests, Reply reply);
+  // After each step: answers what was taken in before it.
+  void AnswerTaken();
+  void Stop() { stopping_ = true; }
+
+ private:
+  struct Waiting {
+    std::vector<std::uint64_t> numbers;
+    Reply reply;
+  };
+
+  Ledger& ledger_;
+  Journal& journal_;
+  Route& route_;
+  Book& book_;
+  const Clock& clock_;
+  const int most_held_;
+  bool stopping_ = false;
+  std::vector<Waiting> waiting_;
+};
+
+}  // namespace sagetally
+
+#endif  // SAGETALLY_SRC_STAGES_ADMIT_H_
--- /dev/null
+++ b/src/stages/book.cpp
@@ -0,0 +1,31 @@
+#include "stages/book.h"
+
+#include <vector>
+
+namespace sagetally {
+
+void Book::End(Message& message, enum End end, Duration again) {
+  if (message.end != End::kNone) return;
+  ledger_.End(message, end, again, clock_.Now());
+  journal_.Ended(message);
+  if (message.notice_owed) teller_.Tell(message);
+  ledger_.Settle(message);
+}
+
+void Book::ToldInAnswer(Message& message) { Heard(message.number); }
+
+void Book::Heard(std::uint64_t number) {
+  Message* message = ledger_.Find(number);
+  if (message == nullptr || !message->notice_owed) return;
+  message->notice_owed = false;
+  journal_.Told(*message);
+  ledger_.Settle(*message);
+}
+
+void Book::TellAgain() {
+  for (const auto& [number, message] : ledger_.messages()) {
+    if (message.notice_owed) teller_.Tell(message);
+  }
+}
+
+}  // namespace sagetally
--- /dev/null
+++ b/src/stages/intake.h
@@ -0,0 +1,36 @@
+// Intake: checks a submission from either front, and knows messages that came before.
+#ifndef SAGETALLY_SRC_STAGES_INTAKE_H_
+#define SAGETALLY_SRC_STAGES_INTAKE_H_
+
+#include <vector>
+
+#include "config/settings.h"
+#include "core/ledger.h"
+#include "stages/admit.h"
+
+namespace sagetally {
+
+class Intake {
+ public:
+  static constexpr std::size_t kMostBody = 64 * 1024;
+  static constexpr std::size_t kMostName = 512;  // of an id or key
+  static constexpr int kMostDestination = 1'000'000;
+
+  Intake(const SiteSettings& site, Ledger& ledger, Admit& admit)
+      : site_(site), ledger_(ledger), admit_(admit) {}
+
+  // All of them are taken, or none is.
+  void Take(std::vector<Request> requests, Reply reply);
+
+ private:
+  // Empty, or what is wrong.
+  std::string Problem(const Request& request) const;
+
+  const SiteSettings& site_;
+  Ledger& ledger_;
+  Admit& admit_;
+};
+
+}  // namespace sagetally
+
+#endif  // SAGETALLY_SRC_STAGES_INTAKE_H_
--- /dev/null
+++ b/src/stages/relay.cpp
@@ -0,0 +1,37 @@
+#include "stages/relay.h"
+
+#include <utility>
+
+namespace sagetally {
+
+void Relay::Back(const CallResult& result) {
+  Message* message = ledger_.Find(result.number);
+  if (message == nullptr || !message->out) return;
+  Message& m = *message;
+  m.out = false;
+  if (MayHaveRun(result.outcome) && !m.may_have_run) {
+    m.may_have_run = m.out_since;
+    m.may_have_run_at = m.out_at;
+  }
+  AttemptEnded e;
+  e.id = ModuleId(m.number);
+  e.attempt = m.attempts - 1;
+  e.outcome = result.outcome;
+  e.took = clock_.Now() - m.out_since;
+  e.told_wait = result.told_wait;
+  e.load = result.load;
+  if (m.end != End::kNone) {  // ended while the call was out
+    e.finished = true;
+    route_.Add(std::move(e));
+    return ledger_.Settle(m);
+  }
+  if (result.outcome == Outcome::kOk || result.over) {
+    e.finished = true;
+    route_.Add(std::move(e));
+    return book_.End(m, result.outcome == Outcome::kOk ? End::kDelivered : End::kOver);
+  }
+  journal_.Outcame(m, result.outcome);
+  route_.Add(std::move(e));
+}
+
+}  // namespace sagetally
--- /dev/null
+++ b/src/stages/relay.h
@@ -0,0 +1,30 @@
+// Relay: takes what came back from a call, puts it on record and passes it on.
+#ifndef SAGETALLY_SRC_STAGES_RELAY_H_
+#define SAGETALLY_SRC_STAGES_RELAY_H_
+
+#include "clock/clock.h"
+#include "core/ledger.h"
+#include "core/ports.h"
+#include "stages/book.h"
+#include "stages/route.h"
+
+namespace sagetally {
+
+class Relay {
+ public:
+  Relay(Ledger& ledger, Journal& journal, Route& route, Book& book, const Clock& clock)
+      : ledger_(ledger), journal_(journal), route_(route), book_(book), clock_(clock) {}
+
+  void Back(const CallResult& result);
+
+ private:
+  Ledger& ledger_;
+  Journal& journal_;
+  Route& route_;
+  Book& book_;
+  const Clock& clock_;
+};
+
+}  // namespace sagetally
+
+#endif  // SAGETALLY_SRC_STAGES_RELAY_H_
--- /dev/null
+++ b/src/stages/route.cpp
@@ -0,0 +1,72 @@
+#include "stages/route.h"
+
+#include <charconv>
+#include <utility>
+
+namespace sagetally {
+
+std::string ModuleId(std::uint64_t number) { return std::to_string(number); }
+
+std::uint64_t NumberOf(const std::string& module_id) {
+  std::uint64_t number = 0;
+  std::from_chars(module_id.data(), module_id.data() + module_id.size(), number);
+  return number;
+}
+
+void Route::Listed(const ListNews& news) {
+  ListChanged e;
+  e.kind = news.whole ? ListChanged::Kind::kWhole : ListChanged::Kind::kChanges;
+  e.saved = news.saved;
+  for (const EndpointNews& endpoint : news.endpoints) {
+    caller_.Learn(endpoint);
+    e.entries.push_back(endpoint.entry);
+  }
+  Add(std::move(e));
+}
+
+void Route::Taken(const Message& m) {
+  MessageTaken e;
+  e.id = ModuleId(m.number);
+  e.destination = m.request.destination;
+  e.message_class = m.request.message_class;
+  e.time_left = m.deadline - clock_.Now();
+  e.attempts = m.attempts;
+  e.may_have_run = m.may_have_run;
+  e.may_have_run_at = m.may_have_run_at;
+  Add(std::move(e));
+}
+
+void Route::Withdrawn(const Message& m) { Add(sagetally::Withdrawn{ModuleId(m.number)}); }
+
+void Route::Add(Event event) {
+  events_.push_back(std::move(event));
+  host_.StepSoon();
+}
+
+void Route::Step() {
+  const std::vector<Event> events = std::exchange(events_, {});
+  std::vector<Action> actions;
+  sender_.Step(clock_.Now(), events, actions);
+  for (const Action& action : actions) {
+    std::visit([this](const auto& a) { Do(a); }, action);
+  }
+  ledger_.Age(clock_.Now());
+}
+
+void Route::Do(const Send& a) { send_.Go(NumberOf(a.id), a.endpoint, a.time_out); }
+
+void Route::Do(const Refuse& a) {
+  if (Message* m = ledger_.Find(NumberOf(a.id))) book_.End(*m, End::kRefused, a.come_back_after);
+}
+
+void Route::Do(const Fail& a) {
+  if (Message* m = ledger_.Find(NumberOf(a.id))) book_.End(*m, End::kFailed);
+}
+
+void Route::Do(const Cancel& a) {
+  if (const Message* m = ledger_.Find(NumberOf(a.id)); m != nullptr && m->attempts == a.attempt + 1) {
+    caller_.Cancel(m->number);
+  }
+}
+
+}  // namespace sagetally
--- /dev/null
+++ b/src/stages/route.h
@@ -0,0 +1,64 @@
+// Route: hands all events to the decision module and carries out what it decides. It decides nothing itself.
+#ifndef SAGETALLY_SRC_STAGES_ROUTE_H_
+#define SAGETALLY_SRC_STAGES_ROUTE_H_
+
+#include <vector>
+
+#include "clock/clock.h"
+#include "core/ledger.h"
+#include "core/ports.h"
+#include "sagetally/sender.h"
+#include "stages/book.h"
+#include "stages/send.h"
+
+namespace sagetally {
+
+class Route {
+ public:
+  Route(Sender sender, Ledger& ledger, SendStage& send, Book& book, Caller& caller, Host& host,
+        const Clock& clock)
+      : sender_(std::move(sender)),
+        ledger_(ledger),
+        send_(send),
+        book_(book),
+        caller_(caller),
+        host_(host),
+        clock_(clock) {}
+
+  void Listed(const ListNews& news);
+  void Taken(const Message& message);
+  void Withdrawn(const Message& message);
+  void Add(Event event);
+  // One round: all events since the last go in, and the actions are carried out in order.
+  void Step();
+
+ private:
+  void Do(const Send& action);
+  void Do(const Refuse& action);
+  void Do(const Fail& action);
+  void Do(const Cancel& action);
+  void Do(const Probe&) {}  // the module asks for none
+  void Do(const CloseIdle& action) { caller_.CloseIdle(action.endpoint); }
+  void Do(const Wake& action) { host_.WakeAfter(action.after); }
+  void Do(const Track&) {}      // the watch is always on
+  void Do(const FetchList&) {}  // and brings whole lists by itself
+  void Do(const TellPeers& action) { host_.TellPeers(action.body); }
+  void Do(const Log& action) { host_.Log(action.line); }
+
+  Sender sender_;
+  Ledger& ledger_;
+  SendStage& send_;
+  Book& book_;
+  Caller& caller_;
+  Host& host_;
+  const Clock& clock_;
+  std::vector<Event> events_;
+};
+
+// The module's name for a message.
+std::string ModuleId(std::uint64_t number);
+std::uint64_t NumberOf(const std::string& module_id);
+
+}  // namespace sagetally
+
+#endif  // SAGETALLY_SRC_STAGES_ROUTE_H_
--- /dev/null
+++ b/src/stages/send.cpp
@@ -0,0 +1,16 @@
+#include "stages/send.h"
+
+namespace sagetally {
+
+void SendStage::Go(std::uint64_t number, const std::string& endpoint, Duration time_out) {
+  Message* message = ledger_.Find(number);
+  if (message == nullptr || message->end != End::kNone || message->out) return;
+  message->out = true;
+  message->attempts += 1;
+  message->out_since = clock_.Now();
+  message->out_at = endpoint;
+  journal_.Attempted(*message);
+  caller_.Call({number, &message->request, endpoint, time_out});
+}
+
+}  // namespace sagetally
--- /dev/null
+++ b/src/store/store.h
@@ -0,0 +1,61 @@
+// The write-ahead log: one file of records, each with its length and checksum. What was written outlasts the
+// process without a sync; a torn last record is cut off at the next start. When the file has grown past half
+// of what the folder may hold, the live messages are written to a second file that takes its place.
+#ifndef SAGETALLY_SRC_STORE_STORE_H_
+#define SAGETALLY_SRC_STORE_STORE_H_
+
+#include <string>
+#include <string_view>
+
+#include "core/ledger.h"
+#include "core/ports.h"
+
+namespace sagetally {
+
+class Fd {  // an owned file descriptor
+ public:
+  explicit Fd(int fd = -1) : fd_(fd) {}
+  Fd(Fd&& other) noexcept : fd_(other.Release()) {}
+  Fd& operator=(Fd&& other) noexcept;
+  ~Fd();
+  int get() const { return fd_; }
+  int Release();
+
+ private:
+  int fd_;
+};
+
+class Store : public Journal {
+ public:
+  // Opens the log in `folder` and reads what it holds into `ledger`. Throws std::runtime_error.
+  // `most_bytes`: of all files of the folder.
+  Store(std::string folder, std::size_t most_bytes, Ledger& ledger);
+
+  bool Taken(std::span<const Message* const> messages) override;
+  void Attempted(const Message& message) override;
+  void Outcame(const Message& message, Outcome outcome) override;
+  void Ended(const Message& message) override;
+  void Told(const Message& message) override;
+
+  std::size_t bytes() const { return bytes_; }
+  const std::string& note() const { return note_; }  // of the reading, for the log
+
+ private:
+  void Replay();
+  bool Apply(std::string_view record);
+  bool Append(const std::string& records, bool must);
+  void Compact();
+  std::size_t LiveBytes() const;
+  std::size_t Half() const { return most_bytes_ * 45 / 100; }
+
+  std::string path_;
+  std::size_t most_bytes_;
+  Ledger& ledger_;
+  Fd file_;
+  std::size_t bytes_ = 0;
+  std::string note_;
+};
+
+}  // namespace sagetally
+
+#endif  // SAGETALLY_SRC_STORE_STORE_H_
