End keyed messages at once past their window, and stop cleanly on SIGTERM

Seen in the code: a keyed message that may have run was held to its deadline once its repeat window was over, and a call out when the process ends is lost for unsafe classes. Now GiveUpLate ends the first at once, and the module holds back calls that would not return before the host's end (event Stopping).

--- a/include/sagetally/sender.h
+++ b/include/sagetally/sender.h
@@ -157,7 +157,11 @@
   int sender = 0;
   std::string body = {};
 };
-using Event = std::variant<ListChanged, MessageTaken, AttemptEnded, ProbeEnded, Withdrawn, WakeDue, PeerNote>;
+struct Stopping {  // the host ends after `left` and hands on what it holds to the next start
+  Duration left{0};
+};
+using Event =
+    std::variant<ListChanged, MessageTaken, AttemptEnded, ProbeEnded, Withdrawn, WakeDue, PeerNote, Stopping>;
 
 // Actions.
 struct Send {  // sends to one endpoint in one Step share calls, as far as the kind's batch_max allows
--- a/src/app/dispatcher.cpp
+++ b/src/app/dispatcher.cpp
@@ -68,6 +68,8 @@
   stopping_ = true;
   Log("stopping: " + std::to_string(ledger_.held()) + " messages held");
   chain_.admit.Stop();
+  chain_.route.Add(Stopping{kLongestStop - milliseconds(100)});
+  server_->CloseBetweenRequests();
   close_.After(kListenOn);
   end_.After(kLongestStop);
 }
--- a/src/brain/decide.cpp
+++ b/src/brain/decide.cpp
@@ -271,6 +271,7 @@
     const auto ran_at = endpoints_.find(e.may_have_run_at);
     if (m.may_have_run && ran_at != endpoints_.end()) m.may_at = &ran_at->second;
     if ((m.may_have_run && c.effect == Effect::kUnsafe) || m.attempts >= s_.max_attempts) return GiveUp(m);
+    NoteWindow(m);
     Enqueue(m);
   }
 
@@ -295,6 +296,7 @@
     if (may_run && !m.may_have_run) {
       m.may_have_run = m.sent;
       m.may_at = &endpoint;
+      NoteWindow(m);
     }
     if (may_run && e.outcome != Outcome::kError && !m.key.empty()) {  // it may still run: the key rests
       keys_[m.key].quiet_until = std::max(keys_[m.key].quiet_until, now_ + s_.key_quiet);
@@ -303,7 +305,9 @@
     if (m.ended) return EraseIfOver(m);
     // Effects: an unsafe message that may have run gets no further attempt and no refusal.
     if (m.may_have_run && c.effect == Effect::kUnsafe) return GiveUp(m);
-    if (m.attempts >= s_.max_attempts || now_ + kLeastNotice >= m.deadline) return GiveUp(m);
+    const bool window_over = m.may_have_run && c.effect == Effect::kKeyed &&
+                             now_ + kLeastNotice > *m.may_have_run + c.repeat_window;
+    if (window_over || m.attempts >= s_.max_attempts || now_ + kLeastNotice >= m.deadline) return GiveUp(m);
     Enqueue(m);
   }
 
@@ -319,6 +323,7 @@
     turn_late_ = std::max(wake_asked_ < now_ ? now_ - wake_asked_ : Duration(0), turn_late_ * 9 / 10);
     wake_asked_ = Time::max();
   }
+  void On(const Stopping& e) { stop_at_ = now_ + e.left; }
   void On(const PeerNote&) {}    // nothing here rests on notes, which may be lost
   void On(const ProbeEnded&) {}  // nor on probes: calls that may be sent tell as much
 
@@ -354,6 +359,13 @@
     --held_;
   }
 
+  void NoteWindow(const Message& m) {
+    const ClassSettings& c = s_.classes[m.cls];
+    if (m.may_have_run && c.effect == Effect::kKeyed) {
+      window_ends_.emplace(*m.may_have_run + c.repeat_window - kLeastNotice, m.id);
+    }
+  }
+
   void EraseIfOver(Message& m) {
     if (!m.ended || m.out) return;
     if (!m.key.empty()) {
@@ -471,6 +483,8 @@
         for (auto& [number, at] : active_) {
           Destination& d = *at;
           const Duration expected = Expected(d);
+          // A call cut off by the host's end may have run and is lost: what would not return waits instead.
+          if (stop_at_ != Time::max() && now_ + std::max(expected, kLeastOverdue) > stop_at_) continue;
           for (Queue& queue : relegated ? d.relegated : d.ready) {
             Message* m = queue.empty() ? nullptr : Head(queue);
             if (m == nullptr) continue;
@@ -647,6 +661,15 @@
 
   // What cannot arrive gets its answer at once. By the mean: a wrong refusal costs more than a wrong place.
   void GiveUpLate() {
+    // Past its window a keyed message that may have run goes nowhere; one that is out ends by its outcome.
+    while (!window_ends_.empty() && window_ends_.begin()->first < now_) {
+      const auto at = messages_.find(window_ends_.begin()->second);
+      window_ends_.erase(window_ends_.begin());
+      if (at == messages_.end() || at->second.out || at->second.ended) continue;
+      Dequeue(at->second);
+      GiveUp(at->second);
+    }
+    if (!window_ends_.empty()) WantWake(window_ends_.begin()->first + milliseconds(1));
     for (auto& [number, at] : active_) {
       Destination& d = *at;
       const Duration need = std::max<Duration>(Expected(d, false), kLeastNotice) + turn_late_;
@@ -974,7 +997,8 @@
   bool slots_bound_ = false;
   bool tracked_ = false, tracking_asked_ = false;
   Time track_at_{std::numeric_limits<std::int64_t>::min()};
-  Time wake_ = Time::max(), wake_asked_ = Time::max();
+  Time wake_ = Time::max(), wake_asked_ = Time::max(), stop_at_ = Time::max();
+  std::multimap<Time, std::string> window_ends_;  // of keyed messages that may have run
 };
 
 Sender::Sender(Settings settings, std::uint64_t seed)
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -44,7 +44,7 @@
   bool notice_owed = false;  // the end has still to be told
 };
 
-enum class Verdict { kTaken, kRefused, kInvalid };
+enum class Verdict { kTaken, kRefused, kStopping, kInvalid };
 struct Answer {  // to a client's request, at once
   Verdict verdict = Verdict::kTaken;
   Duration again{0};
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -1,6 +1,7 @@
 #include "net/server.h"
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
 #include <sys/socket.h>
@@ -8,6 +9,16 @@
 #include <stdexcept>
 
 namespace sagetally {
+namespace {
+
+// Guards a request that has arrived and was not read yet: it is answered, not closed upon.
+bool Unread(evhttp_connection* connection) {
+  char byte = 0;
+  const int fd = bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
+  return ::recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+}  // namespace
 
 std::string Exchange::method() const {
   if (gone()) return "";
@@ -110,7 +121,7 @@
     const auto open = exchange.lock();
     if (open && !open->gone()) {
       open->closing_ = true;
-    } else {
+    } else if (!Unread(connection)) {
       connections_.erase(connection);
       evhttp_connection_set_closecb(connection, nullptr, nullptr);
       evhttp_connection_free(connection);
--- a/src/stages/admit.cpp
+++ b/src/stages/admit.cpp
@@ -6,7 +6,7 @@
 
 void Admit::Take(std::vector<Request> requests, Reply reply) {
   if (stopping_) {
-    reply({Verdict::kRefused, Duration(0), "stopping"});
+    reply({Verdict::kStopping, Duration(0), "stopping"});
     return;
   }
   if (ledger_.held() + static_cast<int>(requests.size()) > most_held_) {
