--- a/src/app/dispatcher.cpp
+++ b/src/app/dispatcher.cpp
@@ -1,6 +1,5 @@
 #include "app/dispatcher.h"
 
-#include <csignal>
 #include <cstdio>
 
 namespace sagetally {
@@ -11,17 +10,23 @@
 // After SIGTERM new connections come for 0.4 s at most, and SIGKILL after 3.7 s at the soonest.
 constexpr Duration kListenOn = milliseconds(600);
 constexpr Duration kLongestStop = milliseconds(3300);
+// Longer bodies than a message may have are read up to this, so that their client hears why they are refused.
+constexpr std::size_t kMostRequest = 512 * 1024;
 
 }  // namespace
 
-Dispatcher::Dispatcher(const Config& config)
-    : config_(config),
+Dispatcher::Dispatcher(Loop& loop, const Config& config, const DeployFile& deploy)
+    : loop_(loop),
+      config_(config),
       step_(loop_, [this] { Step(); }),
       wake_(loop_, [this] { chain_.route.Add(WakeDue{}); }),
       close_(loop_,
              [this] {
-               server_->StopListening();
-               server_->CloseBetweenRequests();
+               for (Server* server : {server_.get(), events_.get()}) {
+                 if (server == nullptr) continue;
+                 server->StopListening();
+                 server->CloseBetweenRequests();
+               }
                EndIfDone();
              }),
       end_(loop_, [this] { loop_.Break(); }),
@@ -31,10 +36,19 @@
           {config_.site.connect_timeout, config_.site.module.connection_idle, config_.site.module.slots + 2},
           [this](const CallResult& result) { chain_.relay.Back(result); }),
       notices_(
-          loop_, config_.discovery, [this](std::uint64_t number) { chain_.book.Heard(number); },
+          loop_, config_.discovery, Notices::Platform(),
+          [this](std::uint64_t number) { chain_.book.Heard(number); },
           [this](const std::string& line) { Log(line); }),
-      chain_(config_.site, config_.seed, ledger_, store_, pool_, notices_, *this, clock_) {
+      chain_(config_.site, config_.seed, ledger_, store_, pool_, *this, *this, clock_) {
   Log("store: " + store_.note());
+  if (deploy.cloudevents && deploy.cloudevents->sink) {
+    results_ = std::make_unique<Notices>(
+        loop_, *deploy.cloudevents->sink,
+        Notices::Batch(deploy.cloudevents->sink_path,
+                       [this](const Message& message) { return ResultEvent(message, config_.name); }),
+        [this](std::uint64_t number) { chain_.book.Heard(number); },
+        [this](const std::string& line) { Log(line); });
+  }
   peers_ = std::make_unique<Peers>(loop_, config_, [this](const PeerNote& n) { chain_.route.Add(n); });
   chain_.route.Listed(config_.known);
   chain_.Resume();
@@ -44,10 +58,15 @@
       [this](const ListNews& news) { chain_.route.Listed(news); },
       [this](const std::string& line) { Log(line); });
   server_ = std::make_unique<Server>(
-      loop_, config_.listen, Intake::kMostBody,
+      loop_, config_.listen, kMostRequest,
       [this](const std::shared_ptr<Exchange>& exchange) { front_->Handle(exchange); });
-  term_ = std::make_unique<Signal>(loop_, SIGTERM, [this] { Stop(); });
-  interrupt_ = std::make_unique<Signal>(loop_, SIGINT, [this] { Stop(); });
+  if (deploy.cloudevents) {
+    events_front_ = std::make_unique<CloudEventsFront>(config_.site, chain_.intake);
+    events_ = std::make_unique<Server>(
+        loop_, deploy.cloudevents->listen, CloudEventsFront::kMostBatch,
+        [this](const std::shared_ptr<Exchange>& exchange) { events_front_->Handle(exchange); });
+    Log("cloudevents: on " + deploy.cloudevents->listen.host + ":" + std::to_string(events_->port()));
+  }
   Log("ready: " + config_.name + " on " + config_.listen.host + ":" + std::to_string(server_->port()));
 }
 
@@ -58,6 +77,12 @@
   std::fflush(stdout);
 }
 
+void Dispatcher::Tell(const Message& message) {
+  if (message.request.form == Form::kPlain) return notices_.Tell(message);
+  if (results_) return results_->Tell(message);
+  chain_.book.NobodyToTell(message.number);
+}
+
 void Dispatcher::Step() {
   chain_.Step();
   if (stopping_) EndIfDone();
@@ -70,12 +95,14 @@
   chain_.admit.Stop();
   chain_.route.Add(Stopping{kLongestStop - milliseconds(100)});
   server_->CloseBetweenRequests();
+  if (events_) events_->CloseBetweenRequests();
   close_.After(kListenOn);
   end_.After(kLongestStop);
 }
 
 void Dispatcher::EndIfDone() {
-  if (!close_.pending() && ledger_.held() == 0 && notices_.idle()) end_.After(milliseconds(20));
+  const bool told = notices_.idle() && (!results_ || results_->idle());
+  if (!close_.pending() && ledger_.held() == 0 && told) end_.After(milliseconds(20));
 }
 
 }  // namespace sagetally
--- a/src/app/dispatcher.h
+++ b/src/app/dispatcher.h
@@ -7,6 +7,8 @@
 
 #include "clock/clock.h"
 #include "config/config.h"
+#include "config/deploy.h"
+#include "front/cloudevents/front.h"
 #include "front/platform/platform.h"
 #include "net/endpoint_pool.h"
 #include "net/loop.h"
@@ -19,15 +21,14 @@
 
 namespace sagetally {
 
-class Dispatcher : public Host {
+class Dispatcher : public Host, private Teller {
  public:
-  explicit Dispatcher(const Config& config);
+  Dispatcher(Loop& loop, const Config& config, const DeployFile& deploy);
   ~Dispatcher() override;
 
-  void Run() { loop_.Run(); }
-  void Stop();  // as SIGTERM asks for it
+  void Stop();  // as SIGTERM asks for it; breaks the loop once done
   std::uint16_t port() const { return server_->port(); }
-  Loop& loop() { return loop_; }
+  std::uint16_t events_port() const { return events_ ? events_->port() : 0; }
 
   void StepSoon() override { step_.After(Duration(0)); }
   void WakeAfter(Duration d) override { wake_.After(d); }
@@ -35,23 +36,25 @@
   void Log(const std::string& line) override;
 
  private:
+  void Tell(const Message& message) override;
   void Step();
   void EndIfDone();
 
+  Loop& loop_;
   const Config config_;
   SystemClock clock_;
-  Loop loop_;
   Timer step_, wake_, close_, end_;
   Ledger ledger_;
   Store store_;
   EndpointPool pool_;
   Notices notices_;
+  std::unique_ptr<Notices> results_;  // to the sink of events
   Chain chain_;
   std::unique_ptr<Peers> peers_;
   std::unique_ptr<PlatformFront> front_;
   std::unique_ptr<Watch> watch_;
-  std::unique_ptr<Server> server_;
-  std::unique_ptr<Signal> term_, interrupt_;
+  std::unique_ptr<CloudEventsFront> events_front_;
+  std::unique_ptr<Server> server_, events_;
   bool stopping_ = false;
 };
 
--- a/src/core/ledger.cpp
+++ b/src/core/ledger.cpp
@@ -9,7 +9,7 @@
   if (message.number == 0) message.number = next_;
   next_ = std::max(next_, message.number + 1);
   const std::uint64_t number = message.number;
-  by_id_[message.request.id] = number;
+  by_id_[Identity(message.request)] = number;
   held_ += message.end == End::kNone ? 1 : 0;
   Message& added = messages_.insert_or_assign(number, std::move(message)).first->second;
   if (added.end != End::kNone) remembered_.emplace_back(added.ended_at, number);
@@ -21,8 +21,12 @@
   return at == messages_.end() ? nullptr : &at->second;
 }
 
-Message* Ledger::FindById(const std::string& id) {
-  const auto at = by_id_.find(id);
+std::string Ledger::Identity(const Request& request) {
+  return (request.form == Form::kEvent ? "e" : "p") + request.id;
+}
+
+Message* Ledger::FindSame(const Request& request) {
+  const auto at = by_id_.find(Identity(request));
   return at == by_id_.end() ? nullptr : Find(at->second);
 }
 
@@ -34,8 +38,7 @@
   message.end = end;
   message.again = again;
   message.ended_at = now;
-  message.notice_owed = end == End::kFailed || end == End::kRefused ||
-                        (end == End::kDelivered && message.request.form == Form::kEvent);
+  message.notice_owed = end == End::kFailed || end == End::kRefused;
   --held_;
   if (Remembers(message)) remembered_.emplace_back(now, message.number);
 }
@@ -52,7 +55,7 @@
 void Ledger::Remove(std::uint64_t number) {
   const auto at = messages_.find(number);
   if (at == messages_.end()) return;
-  const auto named = by_id_.find(at->second.request.id);
+  const auto named = by_id_.find(Identity(at->second.request));
   if (named != by_id_.end() && named->second == number) by_id_.erase(named);
   if (at->second.end == End::kNone) --held_;
   messages_.erase(at);
--- a/src/core/ledger.h
+++ b/src/core/ledger.h
@@ -19,7 +19,7 @@
 
   Message& Add(Message message);
   Message* Find(std::uint64_t number);
-  Message* FindById(const std::string& id);
+  Message* FindSame(const Request& request);  // taken before, from the same front under the same id
   int held() const { return held_; }
   std::size_t size() const { return messages_.size(); }
   const std::map<std::uint64_t, Message>& messages() const { return messages_; }
@@ -32,6 +32,7 @@
   void Age(Time now);
 
  private:
+  static std::string Identity(const Request& request);
   static bool Remembers(const Message& message);
 
   std::map<std::uint64_t, Message> messages_;
--- /dev/null
+++ b/src/front/cloudevents/front.h
@@ -0,0 +1,32 @@
+// CloudEvents over HTTP as core requests.
+#ifndef SAGETALLY_SRC_FRONT_CLOUDEVENTS_FRONT_H_
+#define SAGETALLY_SRC_FRONT_CLOUDEVENTS_FRONT_H_
+
+#include <memory>
+#include <string>
+
+#include "core/types.h"
+#include "front/cloudevents/event.h"
+#include "net/server.h"
+#include "stages/intake.h"
+
+namespace sagetally {
+
+class CloudEventsFront {
+ public:
+  static constexpr std::size_t kMostBatch = 1024 * 1024;
+
+  CloudEventsFront(const SiteSettings& site, Intake& intake) : site_(site), intake_(intake) {}
+  void Handle(const std::shared_ptr<Exchange>& exchange);
+
+ private:
+  const SiteSettings& site_;
+  Intake& intake_;
+};
+
+// The result event (structured JSON) that tells how an event's message ended.
+std::string ResultEvent(const Message& message, const std::string& node);
+
+}  // namespace sagetally
+
+#endif  // SAGETALLY_SRC_FRONT_CLOUDEVENTS_FRONT_H_
--- a/src/front/platform/platform.cpp
+++ b/src/front/platform/platform.cpp
@@ -4,6 +4,8 @@
 #include <charconv>
 #include <utility>
 
+#include "front/answer.h"
+
 namespace sagetally {
 
 std::optional<Duration> ParseDeadline(std::string_view text) {
@@ -32,21 +34,6 @@
   return std::nullopt;
 }
 
-std::string RetryAfter(Duration d) {
-  const auto ms = (d.count() + 999) / 1000;
-  const std::string rest = std::to_string(ms % 1000);
-  return std::to_string(ms / 1000) + "." + std::string(3 - rest.size(), '0') + rest;
-}
-
-void SendAnswer(Exchange& exchange, const Answer& answer) {
-  std::vector<std::pair<std::string, std::string>> headers;
-  if (answer.verdict == Verdict::kRefused && answer.again > Duration(0)) {
-    headers.emplace_back("Retry-After", RetryAfter(answer.again));
-  }
-  const int code = answer.verdict == Verdict::kTaken ? 202 : answer.verdict == Verdict::kRefused ? 429 : 400;
-  exchange.Answer(code, answer.why.empty() ? "" : answer.why + "\n", headers);
-}
-
 std::string PlatformFront::Read(const Exchange& exchange, Request& request) const {
   const std::string name = exchange.Header("X-Class");
   const std::string path = exchange.path();
@@ -68,15 +55,7 @@
 }
 
 void PlatformFront::Handle(const std::shared_ptr<Exchange>& exchange) {
-  const std::string method = exchange->method();
-  if (method == "GET" && exchange->path() == "/healthz") {
-    exchange->Answer(200, "ready\n");
-    return;
-  }
-  if (method != "POST") {
-    exchange->Answer(method == "GET" ? 404 : 405, "messages come by POST\n");
-    return;
-  }
+  if (AnsweredAside(*exchange)) return;
   Request request;
   if (const std::string problem = Read(*exchange, request); !problem.empty()) {
     exchange->Answer(400, problem + "\n");
@@ -84,11 +63,7 @@
   }
   std::vector<Request> one;
   one.push_back(std::move(request));
-  intake_.Take(std::move(one), [exchange](const Answer& answer) {
-    if (exchange->gone()) return false;
-    SendAnswer(*exchange, answer);
-    return true;
-  });
+  intake_.Take(std::move(one), ReplyTo(exchange));
 }
 
 }  // namespace sagetally
--- a/src/front/platform/platform.h
+++ b/src/front/platform/platform.h
@@ -17,11 +17,6 @@
 std::optional<Duration> ParseDeadline(std::string_view text);
 // The `dest` of "dest=7" or "a=1,dest=7".
 std::optional<int> ParseDestination(std::string_view envelope);
-// Seconds, decimal, for Retry-After.
-std::string RetryAfter(Duration d);
-// The answer's status, text and headers.
-void SendAnswer(Exchange& exchange, const Answer& answer);
-
 class PlatformFront {
  public:
   PlatformFront(const SiteSettings& site, Intake& intake) : site_(site), intake_(intake) {}
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -12,8 +12,12 @@
   try {
     const sagetally::Config config =
         sagetally::ReadConfig([](const char* name) { return static_cast<const char*>(std::getenv(name)); });
-    sagetally::Dispatcher dispatcher(config);
-    dispatcher.Run();
+    const sagetally::DeployFile deploy = sagetally::ReadDeployFile("deploy/node.json");
+    sagetally::Loop loop;
+    sagetally::Dispatcher dispatcher(loop, config, deploy);
+    const sagetally::Signal term(loop, SIGTERM, [&] { dispatcher.Stop(); });
+    const sagetally::Signal interrupt(loop, SIGINT, [&] { dispatcher.Stop(); });
+    loop.Run();
     return 0;
   } catch (const std::exception& error) {
     std::fprintf(stderr, "sagetally: %s\n", error.what());
--- a/src/net/notices.cpp
+++ b/src/net/notices.cpp
@@ -24,10 +24,17 @@
 
 }  // namespace
 
-Notices::Notices(Loop& loop, const Address& discovery, std::function<void(std::uint64_t)> heard,
+Notices::Form Notices::Platform() { return {"/v1/notices", "application/json", "", "", "", Line}; }
+
+Notices::Form Notices::Batch(std::string path, std::function<std::string(const Message&)> event) {
+  return {std::move(path), "application/cloudevents-batch+json", "[", ",", "]", std::move(event)};
+}
+
+Notices::Notices(Loop& loop, const Address& to, Form form, std::function<void(std::uint64_t)> heard,
                  std::function<void(const std::string&)> log)
     : loop_(loop),
-      discovery_(discovery),
+      to_(to),
+      form_(std::move(form)),
       heard_(std::move(heard)),
       log_(std::move(log)),
       post_(loop, [this] { Post(); }),
@@ -35,30 +42,33 @@
 Notices::~Notices() = default;
 
 void Notices::Tell(const Message& message) {
-  waiting_[message.number] = Line(message);
+  waiting_[message.number] = form_.line(message);
   if (out_.empty() && !post_.pending()) post_.After(Duration(0));
 }
 
 void Notices::Post() {
   if (waiting_.empty()) return;
   if (!connection_) {
-    connection_.reset(
-        evhttp_connection_base_new(loop_.base(), nullptr, discovery_.host.c_str(), discovery_.port));
+    connection_.reset(evhttp_connection_base_new(loop_.base(), nullptr, to_.host.c_str(), to_.port));
     evhttp_connection_set_retries(connection_.get(), 0);
     evhttp_connection_set_timeout(connection_.get(), 24 * 3600);
   }
   evhttp_request* request = evhttp_request_new(Done, this);
   evkeyvalq* headers = evhttp_request_get_output_headers(request);
-  evhttp_add_header(headers, "Host", discovery_.host.c_str());
-  evhttp_add_header(headers, "Content-Type", "application/json");
+  evhttp_add_header(headers, "Host", to_.host.c_str());
+  evhttp_add_header(headers, "Content-Type", form_.content_type.c_str());
   evbuffer* body = evhttp_request_get_output_buffer(request);
+  std::string text = form_.open;
   for (const auto& [number, line] : waiting_) {
     if (out_.size() >= kMostLines) break;
+    if (!out_.empty()) text += form_.between;
     out_.push_back(number);
-    evbuffer_add(body, line.data(), line.size());
+    text += line;
   }
+  text += form_.close;
+  evbuffer_add(body, text.data(), text.size());
   unheard_.After(kUnheard);
-  evhttp_make_request(connection_.get(), request, EVHTTP_REQ_POST, "/v1/notices");
+  evhttp_make_request(connection_.get(), request, EVHTTP_REQ_POST, form_.path.c_str());
 }
 
 void Notices::Failed(const char* how) {
@@ -74,8 +84,8 @@
   if (!n->unheard_.pending()) return;
   const int code = request == nullptr ? 0 : evhttp_request_get_response_code(request);
   if (code == 0) return n->Failed("no connection");
-  if (code == 400) n->log_("notices: the platform can't read a post (400)");
-  if (code != 204) return n->Failed("not heard");
+  if (code == 400) n->log_("notices: a post can't be read there (400)");
+  if (code < 200 || code > 299) return n->Failed("not heard");
   if (n->failing_) n->log_("notices: heard again");
   n->failing_ = false;
   n->unheard_.Stop();
--- a/src/net/notices.h
+++ b/src/net/notices.h
@@ -1,4 +1,5 @@
-// Tells the platform the ends of messages taken on and not delivered, again until it has heard them.
+// Tells the ends of messages taken on and not delivered, again until they were heard: to the platform as
+// notices, to the sink of events as result events.
 #ifndef SAGETALLY_SRC_NET_NOTICES_H_
 #define SAGETALLY_SRC_NET_NOTICES_H_
 
@@ -15,8 +16,15 @@
 
 class Notices : public Teller {
  public:
-  // `heard` is called for each message whose notice was answered with 204.
-  Notices(Loop& loop, const Address& discovery, std::function<void(std::uint64_t)> heard,
+  struct Form {  // of a post
+    std::string path, content_type, open, between, close;
+    std::function<std::string(const Message&)> line;
+  };
+  static Form Platform();  // JSON lines at the platform's own address
+  static Form Batch(std::string path, std::function<std::string(const Message&)> event);  // of CloudEvents
+
+  // `heard` is called for each message whose notice was answered with success.
+  Notices(Loop& loop, const Address& to, Form form, std::function<void(std::uint64_t)> heard,
           std::function<void(const std::string&)> log);
   ~Notices() override;
 
@@ -30,10 +38,11 @@
   static void Done(evhttp_request* request, void* self);
 
   Loop& loop_;
-  const Address discovery_;
+  const Address to_;
+  const Form form_;
   std::function<void(std::uint64_t)> heard_;
   std::function<void(const std::string&)> log_;
-  std::map<std::uint64_t, std::string> waiting_;  // a line of JSON each
+  std::map<std::uint64_t, std::string> waiting_;  // as posted
   std::vector<std::uint64_t> out_;                // in the post that is out
   bool failing_ = false;
   ConnectionPtr connection_;
--- a/src/stages/book.cpp
+++ b/src/stages/book.cpp
@@ -12,6 +12,10 @@
   ledger_.Settle(message);
 }
 
+void Book::NobodyToTell(std::uint64_t number) {
+  if (Message* message = ledger_.Find(number)) message->notice_owed = false;
+}
+
 void Book::ToldInAnswer(Message& message) { Heard(message.number); }
 
 void Book::Heard(std::uint64_t number) {
@@ -23,8 +27,14 @@
 }
 
 void Book::TellAgain() {
+  std::vector<std::uint64_t> owed;
   for (const auto& [number, message] : ledger_.messages()) {
-    if (message.notice_owed) teller_.Tell(message);
+    if (message.notice_owed) owed.push_back(number);
+  }
+  for (const std::uint64_t number : owed) {
+    Message& message = *ledger_.Find(number);
+    teller_.Tell(message);
+    ledger_.Settle(message);
   }
 }
 
--- a/src/stages/book.h
+++ b/src/stages/book.h
@@ -16,8 +16,9 @@
   void End(Message& message, enum End end, Duration again = Duration(0));
   // The answer to the client was the end: no notice is owed.
   void ToldInAnswer(Message& message);
-  void Heard(std::uint64_t number);  // a notice arrived
-  void TellAgain();                  // after a restart: all that is owed
+  void Heard(std::uint64_t number);         // a notice arrived
+  void NobodyToTell(std::uint64_t number);  // from within Tell: its end has no hearer
+  void TellAgain();                         // after a restart: all that is owed
 
  private:
   Ledger& ledger_;
--- a/src/stages/intake.cpp
+++ b/src/stages/intake.cpp
@@ -26,7 +26,7 @@
       return;
     }
     // Held, or ended in remembered time: the same answer and no second message. After a refusal it is new.
-    const Message* known = ledger_.FindById(request.id);
+    const Message* known = ledger_.FindSame(request);
     if (known != nullptr && known->end != End::kRefused) continue;
     if (ids.insert(request.id).second) fresh.push_back(std::move(request));
   }
--- /dev/null
+++ b/tests/node/rules_test.cpp
@@ -0,0 +1,216 @@
+// One test with real sockets for each rule of the platform's protocol.
+#include "world.h"
+
+namespace sagetally {
+namespace {
+
+void DeliversWithIdKeyBodyAndDeadline() {
+  World w;
+  w.Start();
+  const std::string body("a\0\r\n\xff z", 7);
+  Ask& ask = w.Post("pedido", "m1", body);
+  assert(w.Code(ask) == 202);
+  Until(w.loop, [&] { return w.Calls() == 1; });
+  const Seen& seen = w.endpoints[0]->calls[0];
+  assert(seen.id == "m1" && seen.key == "k-m1" && seen.body == body);
+  assert(ParseDeadline(seen.deadline).value() > 0ms);
+}
+
+void RefusesWhatItCannotHold() {
+  World w(1, 2, 4);
+  w.endpoints[0]->otherwise = 0;
+  w.Start();
+  int taken = 0, refused = 0;
+  for (int i = 0; i < 6; ++i) {
+    const int code = w.Code(w.Post("aviso", "m" + std::to_string(i)));
+    taken += code == 202;
+    refused += code == 429;
+  }
+  assert(taken >= 3 && taken <= 4 && refused == 6 - taken);
+  assert(w.Calls() <= 2);  // never beyond the slots
+}
+
+void AFullDiskRefuses() {
+  World w;
+  w.disk_mb = 1;
+  w.endpoints[0]->otherwise = 0;
+  w.Start();
+  const std::string body(60000, 'b');
+  int taken = 0;
+  while (w.Code(w.Post("aviso", "m" + std::to_string(taken), body)) == 202) assert(++taken < 40);
+  std::size_t bytes = 0;
+  for (const auto& file : std::filesystem::directory_iterator(w.folder.path)) bytes += file.file_size();
+  assert(taken > 3 && bytes < 1'000'000);
+}
+
+void RefusesMalformedRequests() {
+  World w;
+  w.Start();
+  const Headers good = {
+      {"X-Request-Id", "m"}, {"X-Class", "aviso"}, {"X-Deadline", "900m"}, {"X-Envelope", "dest=7"}};
+  for (std::size_t i = 0; i < good.size(); ++i) {
+    for (const char* bad : {"", "-", "nonsense=1"}) {
+      Headers headers = good;
+      headers[i].second = bad;
+      if (i == 0 && *bad != 0) continue;  // any word is an id
+      if (i == 1 && *bad == 0) continue;  // the path names the class too
+      const std::string path = i == 1 ? "/x" : "/aviso";
+      assert(w.Code(w.PostRaw(path, headers, "x")) == 400);
+    }
+  }
+  assert(w.Code(w.PostRaw("/aviso", good, std::string(70000, 'x'))) == 400);
+  assert(w.Code(w.PostRaw("/aviso", good, "x")) == 202);
+}
+
+void AnUnsafeMessageThatMayHaveRunIsNeverResent() {
+  World w(2);
+  for (auto& endpoint : w.endpoints) endpoint->otherwise = 500;
+  w.agent.script = {503, 500};  // the notice is told until it is heard
+  w.Start();
+  assert(w.Code(w.Post("pagamento", "p1")) == 202);
+  Until(w.loop, [&] { return w.agent.Told(R"({"id":"p1","status":"undeliverable"})"); });
+  assert(w.CallsOf("p1") == 1);
+}
+
+void ASafeMessageIsResentAfterAnError() {
+  World w;
+  w.endpoints[0]->script = {500};
+  w.Start();
+  assert(w.Code(w.Post("aviso", "a1")) == 202);
+  Until(w.loop, [&] { return w.CallsOf("a1") == 2; });
+}
+
+// A refused connection proves that nothing ran: even an unsafe message goes elsewhere.
+void AFailedConnectionNeverRan() {
+  World w(2);
+  w.ports[0] = 1;  // nothing listens there
+  w.Start();
+  for (int i = 0; i < 3; ++i) assert(w.Code(w.Post("pagamento", "p" + std::to_string(i))) == 202);
+  Until(w.loop, [&] { return w.endpoints[1]->calls.size() == 3; });
+  assert(w.agent.notices.empty());
+}
+
+void AWaitBindsTheWholeDestination() {
+  World w(2);
+  for (auto& endpoint : w.endpoints) {
+    endpoint->script = {429};
+    endpoint->headers = {{"X-Retry-In-Ms", "400"}};
+  }
+  w.endpoints[1]->script.clear();
+  w.Start();
+  const auto start = std::chrono::steady_clock::now();
+  while (w.endpoints[0]->calls.empty()) {  // until the one that tells a wait was met
+    assert(w.Code(w.Post("aviso", "a" + std::to_string(w.asks.size()))) == 202);
+  }
+  const auto told = w.endpoints[0]->calls[0].at;
+  assert(told >= start);
+  RunFor(w.loop, 20ms);  // the answer is on its way
+  const std::size_t before = w.Calls();
+  assert(w.Code(w.Post("aviso", "late")) == 202);
+  Until(w.loop, [&] { return w.CallsOf("late") == 1; });
+  for (const auto& endpoint : w.endpoints) {
+    for (const Seen& seen : endpoint->calls) assert(seen.id != "late" || seen.at >= told + 390ms);
+  }
+  assert(w.Calls() > before);
+}
+
+void ADrainingEndpointGetsNothingNew() {
+  World w(2);
+  w.Start();
+  Until(w.loop, [&] { return w.agent.watch != nullptr; });
+  assert(w.agent.asked[0].ends_with("after=41"));
+  w.agent.Say("{\"rev\":42,\"all\":false,\"targets\":[" + w.Entry(0, "terminating") + "]}");
+  w.agent.Say("this is no list");  // one log line, and the list stays
+  w.agent.EndWatch();
+  Until(w.loop, [&] { return w.agent.asked.size() == 2; });
+  assert(w.agent.asked[1].ends_with("after=42"));  // resumed after its version
+  for (int i = 0; i < 6; ++i) assert(w.Code(w.Post("aviso", "a" + std::to_string(i))) == 202);
+  Until(w.loop, [&] { return w.endpoints[1]->calls.size() == 6; });
+  assert(w.endpoints[0]->calls.empty());
+}
+
+void ASilentCallIsGivenUpAtTheDeadline() {
+  World w;
+  w.endpoints[0]->otherwise = 0;
+  w.Start();
+  assert(w.Code(w.Post("pagamento", "p1", "x", "300m")) == 202);
+  Until(w.loop, [&] { return w.agent.Told("\"p1\",\"status\":\"undeliverable\""); });
+  assert(w.Calls() == 1);
+}
+
+void WhatWasOwedIsEndedAfterAKill() {
+  World w(1, 2);
+  w.endpoints[0]->otherwise = 0;
+  w.Start();
+  assert(w.Code(w.Post("pagamento", "out")) == 202);
+  assert(w.Code(w.Post("aviso", "again")) == 202);
+  Until(w.loop, [&] { return w.Calls() == 2; });
+  for (int i = 0; i < 3; ++i) assert(w.Code(w.Post("pagamento", "held" + std::to_string(i))) == 202);
+  w.Kill();
+  w.endpoints[0]->held.clear();
+  w.endpoints[0]->otherwise = 200;
+  w.Start();
+  Until(w.loop, [&] {
+    return w.agent.Told(R"("out","status":"undeliverable")") && w.CallsOf("again") == 2 &&
+           w.CallsOf("held0") + w.CallsOf("held1") + w.CallsOf("held2") == 3;
+  });
+  assert(w.CallsOf("out") == 1);  // it may have run, and must never run twice
+  RunFor(w.loop, 50ms);
+  w.Kill();
+  w.Start();  // all has ended: nothing is sent or told again
+  const std::size_t calls = w.Calls(), notices = w.agent.notices.size();
+  assert(w.Code(w.Post("aviso", "fresh")) == 202);
+  Until(w.loop, [&] { return w.CallsOf("fresh") == 1; });
+  assert(w.Calls() == calls + 1 && w.agent.notices.size() == notices);
+}
+
+void StopsTakingAndFinishesOnSigterm() {
+  World w;
+  w.endpoints[0]->otherwise = 0;
+  w.Start();
+  assert(w.Code(w.Post("aviso", "a1")) == 202);
+  Until(w.loop, [&] { return w.Calls() == 1; });
+  const auto start = std::chrono::steady_clock::now();
+  w.dispatcher->Stop();
+  Ask& late = w.Post("aviso", "a2");
+  assert(w.Code(late) == 503 && HeaderOf(late.headers, "Connection") == "close");
+  w.endpoints[0]->Release();
+  event_base_dispatch(w.loop.base());  // Stop breaks it
+  assert(std::chrono::steady_clock::now() - start < 3500ms);
+  assert(w.CallsOf("a2") == 0 && w.agent.notices.empty());
+}
+
+// Guards against a client that closes before it is answered: the copy is withdrawn, nothing is left owed.
+void AClientThatWentIsNotOwed() {
+  World w;
+  w.Start();
+  for (int i = 0; i < 5; ++i) {
+    Ask gone(w.loop, w.dispatcher->port(), "/aviso",
+             {{"X-Request-Id", "g"}, {"X-Class", "aviso"}, {"X-Deadline", "400m"}, {"X-Envelope", "dest=7"}},
+             "x");
+    event_base_loop(w.loop.base(), EVLOOP_ONCE);
+  }
+  assert(w.Code(w.Post("aviso", "a1")) == 202);
+  Until(w.loop, [&] { return w.CallsOf("a1") == 1; });
+}
+
+}  // namespace
+}  // namespace sagetally
+
+int main() {
+  using namespace sagetally;
+  DeliversWithIdKeyBodyAndDeadline();
+  RefusesWhatItCannotHold();
+  AFullDiskRefuses();
+  RefusesMalformedRequests();
+  AnUnsafeMessageThatMayHaveRunIsNeverResent();
+  ASafeMessageIsResentAfterAnError();
+  AFailedConnectionNeverRan();
+  AWaitBindsTheWholeDestination();
+  ADrainingEndpointGetsNothingNew();
+  ASilentCallIsGivenUpAtTheDeadline();
+  WhatWasOwedIsEndedAfterAKill();
+  StopsTakingAndFinishesOnSigterm();
+  AClientThatWentIsNotOwed();
+  std::puts("13 passed, 0 failed");
+}
--- /dev/null
+++ b/tests/node/world.h
@@ -0,0 +1,281 @@
+// A world of stand-ins on one loop, for tests with real sockets: endpoints, the platform's agent, a sink of
+// events, and clients round one dispatcher. Nothing here waits a fixed time; Until runs the loop up to a
+// limit.
+#ifndef SAGETALLY_TESTS_NODE_WORLD_H_
+#define SAGETALLY_TESTS_NODE_WORLD_H_
+
+#undef NDEBUG
+#include <event2/buffer.h>
+#include <event2/keyvalq_struct.h>
+
+#include <cassert>
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <deque>
+#include <filesystem>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "app/dispatcher.h"
+
+namespace sagetally {
+
+using namespace std::chrono_literals;
+
+inline std::string At(std::uint16_t port) { return "127.0.0.1:" + std::to_string(port); }
+
+// Runs the loop until `done`; a minute without it is a failure.
+template <typename F>
+void Until(Loop& loop, F done) {
+  const auto limit = std::chrono::steady_clock::now() + 60s;
+  while (!done()) {
+    assert(std::chrono::steady_clock::now() < limit);
+    Timer tick(loop, [] {});  // the loop turns at least this often, so that the limit is seen
+    tick.After(20ms);
+    event_base_loop(loop.base(), EVLOOP_ONCE);
+  }
+}
+inline void RunFor(Loop& loop, Duration d) {
+  bool over = false;
+  Timer timer(loop, [&] { over = true; });
+  timer.After(d);
+  Until(loop, [&] { return over; });
+}
+
+struct Seen {  // one call at an endpoint
+  std::string id, key, deadline, body;
+  Headers headers;
+  std::chrono::steady_clock::time_point at;
+};
+
+// An endpoint: answers by script, then with 200. 0 holds the call, -1 breaks its connection.
+class StandInEndpoint {
+ public:
+  explicit StandInEndpoint(Loop& loop)
+      : server_(loop, {"127.0.0.1", 0}, 1 << 20, [this](std::shared_ptr<Exchange> e) { Called(e); }) {}
+  std::uint16_t port() const { return server_.port(); }
+  void Release() {  // answers what is held with 200, and all that comes
+    script.clear();
+    otherwise = 200;
+    for (const auto& e : std::exchange(held, {})) e->Answer(200);
+  }
+
+  std::vector<Seen> calls;
+  std::deque<int> script;
+  int otherwise = 200;
+  Headers headers;  // with answers other than 200
+  std::vector<std::shared_ptr<Exchange>> held;
+
+ private:
+  void Called(const std::shared_ptr<Exchange>& e) {
+    assert(e->path() == "/hook");
+    calls.push_back({e->Header("X-Request-Id"), e->Header("Idempotency-Key"), e->Header("X-Deadline"),
+                     e->body(), e->Headers(), std::chrono::steady_clock::now()});
+    int code = otherwise;
+    if (!script.empty()) {
+      code = script.front();
+      script.pop_front();
+    }
+    if (code == 0) {
+      held.push_back(e);
+    } else {
+      e->Answer(code, "", code == 200 ? Headers{} : headers);
+    }
+  }
+  Server server_;
+};
+
+// The platform's agent: a watch that says what it is told to, and notices.
+class StandInAgent {
+ public:
+  explicit StandInAgent(Loop& loop) : http_(evhttp_new(loop.base())) {
+    evhttp_set_gencb(http_.get(), Asked, this);
+    auto* bound = evhttp_bind_socket_with_handle(http_.get(), "127.0.0.1", 0);
+    sockaddr_in at{};
+    socklen_t size = sizeof at;
+    getsockname(evhttp_bound_socket_get_fd(bound), reinterpret_cast<sockaddr*>(&at), &size);
+    port = ntohs(at.sin_port);
+  }
+  void Say(const std::string& line) {
+    evbuffer* out = evbuffer_new();
+    evbuffer_add_printf(out, "%s\n", line.c_str());
+    evhttp_send_reply_chunk(watch, out);
+    evbuffer_free(out);
+  }
+  void EndWatch() { evhttp_send_reply_end(std::exchange(watch, nullptr)); }
+  bool Told(const std::string& line) const { return notices.find(line) != std::string::npos; }
+
+  std::uint16_t port = 0;
+  evhttp_request* watch = nullptr;
+  std::vector<std::string> asked;  // targets of watches
+  std::string notices;
+  std::deque<int> script;  // of the answers to notices
+
+ private:
+  static void Asked(evhttp_request* request, void* self) {
+    auto* a = static_cast<StandInAgent*>(self);
+    const std::string target = evhttp_request_get_uri(request);
+    if (target.starts_with("/v1/servers")) {
+      a->asked.push_back(target);
+      a->watch = request;
+      evhttp_send_reply_start(request, 200, "OK");
+      return;
+    }
+    int code = 204;
+    if (!a->script.empty()) {
+      code = a->script.front();
+      a->script.pop_front();
+    }
+    evbuffer* in = evhttp_request_get_input_buffer(request);
+    const std::string text(reinterpret_cast<char*>(evbuffer_pullup(in, -1)), evbuffer_get_length(in));
+    if (code == 204) a->notices += text;
+    evhttp_send_reply(request, code, nullptr, nullptr);
+  }
+  HttpPtr http_;
+};
+
+// One client request on a connection of its own.
+class Ask {
+ public:
+  Ask(Loop& loop, std::uint16_t port, const std::string& path, const Headers& headers,
+      const std::string& body, evhttp_cmd_type method = EVHTTP_REQ_POST)
+      : connection_(evhttp_connection_base_new(loop.base(), nullptr, "127.0.0.1", port)) {
+    evhttp_connection_set_retries(connection_.get(), 0);
+    evhttp_request* request = evhttp_request_new(Done, this);
+    evhttp_add_header(evhttp_request_get_output_headers(request), "Host", "backend.local");
+    for (const auto& [name, value] : headers) {
+      evhttp_add_header(evhttp_request_get_output_headers(request), name.c_str(), value.c_str());
+    }
+    evbuffer_add(evhttp_request_get_output_buffer(request), body.data(), body.size());
+    evhttp_make_request(connection_.get(), request, method, path.c_str());
+  }
+  int code = -1;  // -1: none yet; 0: the connection failed
+  std::string text;
+  Headers headers;
+
+ private:
+  static void Done(evhttp_request* request, void* self) {
+    auto* a = static_cast<Ask*>(self);
+    a->code = request == nullptr ? 0 : evhttp_request_get_response_code(request);
+    if (request == nullptr || a->code == 0) return;
+    evbuffer* in = evhttp_request_get_input_buffer(request);
+    a->text.assign(evbuffer_get_length(in), '\0');
+    evbuffer_copyout(in, a->text.data(), a->text.size());
+    const evkeyvalq* all = evhttp_request_get_input_headers(request);
+    for (const evkeyval* h = all->tqh_first; h != nullptr; h = h->next.tqe_next) {
+      a->headers.emplace_back(h->key, h->value);
+    }
+  }
+  ConnectionPtr connection_;
+};
+
+inline std::string HeaderOf(const Headers& headers, const std::string& name) {
+  for (const auto& [key, value] : headers) {
+    if (evutil_ascii_strcasecmp(key.c_str(), name.c_str()) == 0) return value;
+  }
+  return "";
+}
+
+class Folder {
+ public:
+  Folder() {
+    char name[] = "/tmp/sagetally-node-XXXXXX";
+    assert(mkdtemp(name) != nullptr);
+    path = name;
+  }
+  ~Folder() { std::filesystem::remove_all(path); }
+  std::string path;
+};
+
+struct World {
+  explicit World(int endpoints = 1, int slots = 8, int most_held = 50) : slots(slots), most_held(most_held) {
+    std::signal(SIGPIPE, SIG_IGN);  // as main does
+    for (int i = 0; i < endpoints; ++i) {
+      this->endpoints.push_back(std::make_unique<StandInEndpoint>(loop));
+      ports.push_back(this->endpoints.back()->port());
+    }
+  }
+
+  // An entry of discovery's list; endpoint `i` belongs to destination 7.
+  std::string Entry(std::size_t i, const std::string& state = "in_service") const {
+    return R"({"uid":"s-)" + std::to_string(i) + R"(","endpoint":")" + At(ports[i]) +
+           R"(","az":"z","model":"k","pod_group":7,"state":")" + state +
+           R"(","capacity_hint":50.0,"boot_ms":0})";
+  }
+  std::string List(const std::string& state = "in_service") const {
+    std::string all;
+    for (std::size_t i = 0; i < ports.size(); ++i) all += (i == 0 ? "" : ",") + Entry(i, state);
+    return R"({"rev":41,"all":true,"targets":[)" + all + "]}";
+  }
+  std::string ConfigText() const {
+    return R"({"name":"n0","listen":"127.0.0.1:0","discovery":")" + At(agent.port) + R"(","state":")" +
+           folder.path + R"(","seed":"1f","limits":{"disk_mb":)" + std::to_string(disk_mb) + R"(},"known":)" +
+           List() + R"(,"settings":{"flavors":["k"],"zones":["z"],"grades":[)" +
+           R"({"name":"aviso","slo":2000,"deadline":24000,"idempotency":"pure","lateShare":0.5,"credit":1},)" +
+           R"({"name":"pedido","slo":2500,"deadline":16000,"idempotency":"token","repeatWindow":10000,"credit":2},)" +
+           R"({"name":"pagamento","slo":2500,"deadline":20000,"idempotency":"side_effect","credit":5}],)" +
+           R"("specifics":{"callsOut":)" + std::to_string(slots) + R"(},"caps":{"mostHeld":)" +
+           std::to_string(most_held) + R"(,"maxAttempts":6,"connIdle":15000,"connectTimeout":1500},)" +
+           R"("rules":{"coldShare":0.3,"fallMultiple":1.5,"tipAfter":1500,"warmWithin":11000}}})";
+  }
+  void Start() {
+    const Config config = ParseConfig(ConfigText(), [](const char*) { return nullptr; });
+    DeployFile deploy;
+    deploy.cloudevents = CloudEventsSettings{{"127.0.0.1", 0}, {}, "/results"};
+    if (sink) deploy.cloudevents->sink = Address{"127.0.0.1", sink->port()};
+    dispatcher = std::make_unique<Dispatcher>(loop, config, deploy);
+  }
+  // As SIGKILL leaves it: nothing is said or written any more.
+  void Kill() { dispatcher.reset(); }
+
+  Ask& Post(const std::string& cls, const std::string& id, const std::string& body = "x",
+            const std::string& deadline = "9000m") {
+    const Headers headers = {{"X-Request-Id", id},
+                             {"X-Class", cls},
+                             {"X-Deadline", deadline},
+                             {"X-Envelope", "dest=7"},
+                             {"Idempotency-Key", "k-" + id}};
+    return PostRaw("/" + cls, headers, body);
+  }
+  Ask& PostRaw(const std::string& path, const Headers& headers, const std::string& body) {
+    asks.push_back(std::make_unique<Ask>(loop, dispatcher->port(), path, headers, body));
+    return *asks.back();
+  }
+  Ask& PostEvent(const Headers& headers, const std::string& body) {
+    asks.push_back(std::make_unique<Ask>(loop, dispatcher->events_port(), "/", headers, body));
+    return *asks.back();
+  }
+  int Code(Ask& ask) {
+    Until(loop, [&] { return ask.code >= 0; });
+    return ask.code;
+  }
+  std::size_t Calls() const {
+    std::size_t n = 0;
+    for (const auto& endpoint : endpoints) n += endpoint->calls.size();
+    return n;
+  }
+  std::size_t CallsOf(const std::string& id) const {
+    std::size_t n = 0;
+    for (const auto& endpoint : endpoints) {
+      for (const Seen& seen : endpoint->calls) n += seen.id == id ? 1 : 0;
+    }
+    return n;
+  }
+
+  Loop loop;
+  Folder folder;
+  int slots, most_held, disk_mb = 3;
+  StandInAgent agent{loop};
+  std::vector<std::unique_ptr<StandInEndpoint>> endpoints;
+  std::vector<std::uint16_t> ports;
+  std::unique_ptr<Server> sink;
+  std::vector<std::unique_ptr<Ask>> asks;
+  std::unique_ptr<Dispatcher> dispatcher;
+};
+
+}  // namespace sagetally
+
+#endif  // SAGETALLY_TESTS_NODE_WORLD_H_
