--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -110,7 +110,8 @@
   auto* server = static_cast<Server*>(self);
   const auto at = server->connections_.find(connection);
   if (at == server->connections_.end()) return;
-  // A connection that fails while its request waits for the answer lets go of the request: it is ours to free.
+  // A connection that fails while its request waits for the answer lets go of the request: it is ours to
+  // free.
   if (const auto open = at->second.lock(); open && !open->gone()) {
     evhttp_request_free(std::exchange(open->request_, nullptr));
   }
--- a/tests/node/world.h
+++ b/tests/node/world.h
@@ -99,6 +99,7 @@
     getsockname(evhttp_bound_socket_get_fd(bound), reinterpret_cast<sockaddr*>(&at), &size);
     port = ntohs(at.sin_port);
   }
+  ~StandInAgent() { FreeOrphan(); }
   void Say(const std::string& line) {
     evbuffer* out = evbuffer_new();
     evbuffer_add_printf(out, "%s\n", line.c_str());
@@ -115,11 +116,15 @@
   std::deque<int> script;  // of the answers to notices
 
  private:
+  void FreeOrphan() {  // a request whose client has gone is its handler's to free
+    if (watch != nullptr && evhttp_request_get_connection(watch) == nullptr) evhttp_request_free(watch);
+  }
   static void Asked(evhttp_request* request, void* self) {
     auto* a = static_cast<StandInAgent*>(self);
     const std::string target = evhttp_request_get_uri(request);
     if (target.starts_with("/v1/servers")) {
       a->asked.push_back(target);
+      a->FreeOrphan();
       a->watch = request;
       evhttp_send_reply_start(request, 200, "OK");
       return;
@@ -214,8 +219,9 @@
     return R"({"name":"n0","listen":"127.0.0.1:0","discovery":")" + At(agent.port) + R"(","state":")" +
            folder.path + R"(","seed":"1f","limits":{"disk_mb":)" + std::to_string(disk_mb) + R"(},"known":)" +
            List() + R"(,"settings":{"flavors":["k"],"zones":["z"],"grades":[)" +
-           R"({"name":"aviso","slo":2000,"deadline":24000,"idempotency":"pure","lateShare":0.5,"credit":1},)" +
-           R"({"name":"pedido","slo":2500,"deadline":16000,"idempotency":"token","repeatWindow":10000,"credit":2},)" +
+           R"({"name":"aviso","slo":2000,"deadline":24000,"idempotency":"pure","credit":1},)" +
+           R"({"name":"pedido","slo":2500,"deadline":16000,"idempotency":"token",)" +
+           R"("repeatWindow":10000,"credit":2},)" +
            R"({"name":"pagamento","slo":2500,"deadline":20000,"idempotency":"side_effect","credit":5}],)" +
            R"("specifics":{"callsOut":)" + std::to_string(slots) + R"(},"caps":{"mostHeld":)" +
            std::to_string(most_held) + R"(,"maxAttempts":6,"connIdle":15000,"connectTimeout":1500},)" +
