Answer a message shed at once with 429; add forwarders, planners and Eureka

Seen: an event shed in the step it came in was answered 202 when no sink is set (test AfterARefusal...). Cause: the ledger let it go before admit answered. Now a message stays until it is answered. Ruled out: the plain front, whose owed notice kept it; rules_test saw 429 there before and after. New, not yet tested against stand-ins: src/registry, src/app/forwarder.

--- a/src/app/dispatcher.cpp
+++ b/src/app/dispatcher.cpp
@@ -2,6 +2,8 @@
 
 #include <cstdio>
 
+#include "registry/planners.h"
+
 namespace sagetally {
 namespace {
 
@@ -53,13 +55,17 @@
   chain_.route.Listed(config_.known);
   chain_.Resume();
   front_ = std::make_unique<PlatformFront>(config_.site, chain_.intake);
-  watch_ = std::make_unique<Watch>(
-      loop_, config_.discovery, config_.site, config_.known.revision,
-      [this](const ListNews& news) { chain_.route.Listed(news); },
-      [this](const std::string& line) { Log(line); });
-  server_ = std::make_unique<Server>(
-      loop_, config_.listen, kMostRequest,
-      [this](const std::shared_ptr<Exchange>& exchange) { front_->Handle(exchange); });
+  if (!deploy.eureka) {
+    watch_ = std::make_unique<Watch>(
+        loop_, config_.discovery, config_.site, config_.known.revision,
+        [this](const ListNews& news) { chain_.route.Listed(news); },
+        [this](const std::string& line) { Log(line); });
+  }
+  if (deploy.role != Role::kPlanner) {
+    server_ = std::make_unique<Server>(
+        loop_, config_.listen, kMostRequest,
+        [this](const std::shared_ptr<Exchange>& exchange) { front_->Handle(exchange); });
+  }
   if (deploy.cloudevents) {
     events_front_ = std::make_unique<CloudEventsFront>(config_.site, chain_.intake);
     events_ = std::make_unique<Server>(
@@ -67,11 +73,33 @@
         [this](const std::shared_ptr<Exchange>& exchange) { events_front_->Handle(exchange); });
     Log("cloudevents: on " + deploy.cloudevents->listen.host + ":" + std::to_string(events_->port()));
   }
-  Log("ready: " + config_.name + " on " + config_.listen.host + ":" + std::to_string(server_->port()));
+  if (deploy.eureka) FollowRegistry(*deploy.eureka, deploy.role);
+  Log("ready: " + config_.name + (server_ ? " on port " + std::to_string(server_->port()) : ""));
 }
 
 Dispatcher::~Dispatcher() = default;
 
+// Partner endpoints come from the registry; a planner is found there itself.
+void Dispatcher::FollowRegistry(const EurekaSettings& settings, Role role) {
+  Instance own;
+  if (role == Role::kPlanner) {
+    own.app = settings.planners;
+    own.host = settings.host;
+    own.port = events_->port();
+    own.id = config_.name + ":" + settings.host + ":" + std::to_string(own.port);
+  }
+  eureka_ = std::make_unique<EurekaClient>(
+      loop_, settings, own,
+      [this, app = settings.partners](const Applications& all) {
+        std::vector<std::string> problems;
+        const auto at = all.find(app);
+        const std::map<std::string, Instance> none;
+        chain_.route.Listed(PartnerList(at == all.end() ? none : at->second, config_.site, problems));
+        for (const std::string& problem : problems) Log("eureka: " + problem);
+      },
+      [this](const std::string& line) { Log(line); });
+}
+
 void Dispatcher::Log(const std::string& line) {
   std::fprintf(stdout, "%s\n", line.c_str());
   std::fflush(stdout);
@@ -94,8 +122,10 @@
   Log("stopping: " + std::to_string(ledger_.held()) + " messages held");
   chain_.admit.Stop();
   chain_.route.Add(Stopping{kLongestStop - milliseconds(100)});
-  server_->CloseBetweenRequests();
-  if (events_) events_->CloseBetweenRequests();
+  for (Server* server : {server_.get(), events_.get()}) {
+    if (server != nullptr) server->CloseBetweenRequests();
+  }
+  if (eureka_) eureka_->Cancel([] {});
   close_.After(kListenOn);
   end_.After(kLongestStop);
 }
--- a/src/app/dispatcher.h
+++ b/src/app/dispatcher.h
@@ -16,6 +16,7 @@
 #include "net/peers.h"
 #include "net/server.h"
 #include "net/watch.h"
+#include "registry/eureka.h"
 #include "stages/chain.h"
 #include "store/store.h"
 
@@ -27,7 +28,7 @@
   ~Dispatcher() override;
 
   void Stop();  // as SIGTERM asks for it; breaks the loop once done
-  std::uint16_t port() const { return server_->port(); }
+  std::uint16_t port() const { return server_ ? server_->port() : 0; }
   std::uint16_t events_port() const { return events_ ? events_->port() : 0; }
 
   void StepSoon() override { step_.After(Duration(0)); }
@@ -39,6 +40,7 @@
   void Tell(const Message& message) override;
   void Step();
   void EndIfDone();
+  void FollowRegistry(const EurekaSettings& settings, Role role);
 
   Loop& loop_;
   const Config config_;
@@ -52,7 +54,8 @@
   Chain chain_;
   std::unique_ptr<Peers> peers_;
   std::unique_ptr<PlatformFront> front_;
-  std::unique_ptr<Watch> watch_;
+  std::unique_ptr<Watch> watch_;          // either this
+  std::unique_ptr<EurekaClient> eureka_;  // or this
   std::unique_ptr<CloudEventsFront> events_front_;
   std::unique_ptr<Server> server_, events_;
   bool stopping_ = false;
--- /dev/null
+++ b/src/app/forwarder.cpp
@@ -0,0 +1,177 @@
+#include "app/forwarder.h"
+
+#include <cstdio>
+#include <set>
+#include <utility>
+
+#include "front/answer.h"
+#include "front/cloudevents/front.h"
+#include "front/platform/platform.h"
+#include "registry/planners.h"
+
+namespace sagetally {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration kOneTry = milliseconds(150);  // a planner answers at once
+constexpr Duration kTryAgain = milliseconds(30);
+// A client waits 400 ms; by then it must know, or know that nobody knows.
+constexpr Duration kAllTries = milliseconds(330);
+constexpr Duration kLongestStop = milliseconds(3000);
+
+void Print(const std::string& line) {
+  std::fprintf(stdout, "%s\n", line.c_str());
+  std::fflush(stdout);
+}
+
+}  // namespace
+
+struct Forwarder::Passing {
+  Passing(Loop& loop, std::function<void(Passing&)> again)
+      : timer(loop, [this, again = std::move(again)] { again(*this); }) {}
+  std::shared_ptr<Exchange> exchange;
+  Address planner;
+  Headers headers;
+  std::string body;
+  bool may_be_taken = false;  // once written, only the same planner may be asked, and no refusal be made up
+  std::chrono::steady_clock::time_point limit = std::chrono::steady_clock::now() + kAllTries;
+  Timer timer;
+};
+
+Forwarder::Forwarder(Loop& loop, const SiteSettings& site, const Address& listen, const DeployFile& deploy)
+    : loop_(loop),
+      site_(site),
+      planners_app_(deploy.eureka->planners),
+      eureka_(std::make_unique<EurekaClient>(
+          loop, *deploy.eureka, Instance{}, [](const Applications&) {},
+          [](const std::string& line) { Print(line); })),
+      calls_(loop),
+      end_(loop, [this] { loop_.Break(); }) {
+  plain_ = std::make_unique<Server>(loop, listen, CloudEventsFront::kMostBatch,
+                                    [this](const std::shared_ptr<Exchange>& e) { Plain(e); });
+  events_ = std::make_unique<Server>(loop, deploy.cloudevents->listen, CloudEventsFront::kMostBatch,
+                                     [this](const std::shared_ptr<Exchange>& e) { Events(e); });
+  Print("forwarder: ready on " + std::to_string(plain_->port()) + " and " + std::to_string(events_->port()));
+}
+Forwarder::~Forwarder() = default;
+
+std::size_t Forwarder::planners_up() const {
+  const auto at = eureka_->applications().find(planners_app_);
+  if (at == eureka_->applications().end()) return 0;
+  std::size_t n = 0;
+  for (const auto& [id, planner] : at->second) n += planner.up() ? 1 : 0;
+  return n;
+}
+
+void Forwarder::Plain(const std::shared_ptr<Exchange>& exchange) {
+  if (AnsweredAside(*exchange)) return;
+  Request request;
+  if (const std::string problem = ReadPlain(*exchange, site_, request); !problem.empty()) {
+    exchange->Answer(400, problem + "\n");
+    return;
+  }
+  Pass({ToEvent(request, site_)}, {request.destination}, exchange);
+}
+
+void Forwarder::Events(const std::shared_ptr<Exchange>& exchange) {
+  if (AnsweredAside(*exchange)) return;
+  std::vector<CloudEvent> events;
+  std::vector<int> destinations;
+  try {
+    events = ReadEvents(exchange->Headers(), exchange->body());
+    for (const CloudEvent& event : events) destinations.push_back(ToRequest(event, site_).destination);
+  } catch (const std::exception& e) {
+    exchange->Answer(400, std::string(e.what()) + "\n");
+    return;
+  }
+  Pass(std::move(events), destinations, exchange);
+}
+
+void Forwarder::Pass(std::vector<CloudEvent> events, const std::vector<int>& destinations,
+                     const std::shared_ptr<Exchange>& exchange) {
+  if (events.empty()) {
+    exchange->Answer(202);
+    return;
+  }
+  if (stopping_) {
+    exchange->Answer(503, "stopping\n");
+    return;
+  }
+  std::set<const Instance*> planners;
+  const auto listed = eureka_->applications().find(planners_app_);
+  for (const int destination : destinations) {
+    planners.insert(listed == eureka_->applications().end() ? nullptr
+                                                            : PickPlanner(listed->second, destination));
+  }
+  if (planners.contains(nullptr)) {
+    exchange->Answer(503, "no planner is up\n");
+    return;
+  }
+  if (planners.size() > 1) {  // a batch is taken whole or not at all, which two planners can't promise
+    exchange->Answer(400, "the batch's destinations belong to several planners: hand them in apart\n");
+    return;
+  }
+  const auto passing = std::make_shared<Passing>(loop_, [this](Passing& p) {
+    for (const auto& held : waiting_) {
+      if (held.get() == &p) return Send(std::shared_ptr<Passing>(held));
+    }
+  });
+  passing->exchange = exchange;
+  passing->planner = {(*planners.begin())->host, (*planners.begin())->port};
+  if (events.size() == 1) {
+    passing->headers = BinaryHeaders(events.front());
+    passing->body = events.front().data;
+  } else {
+    passing->headers = {{"Content-Type", "application/cloudevents-batch+json"}};
+    passing->body = exchange->body();
+  }
+  ++out_;
+  Send(passing);
+}
+
+void Forwarder::Send(const std::shared_ptr<Passing>& passing) {
+  calls_.Send(passing->planner, EVHTTP_REQ_POST, "/", passing->headers, passing->body, kOneTry,
+              [this, passing](const HttpResult& result) { Back(passing, result); });
+}
+
+void Forwarder::Back(const std::shared_ptr<Passing>& passing, const HttpResult& result) {
+  if (result.code != 0) {
+    Headers headers;
+    for (const auto& [name, value] : result.headers) {
+      if (evutil_ascii_strcasecmp(name.c_str(), "Retry-After") == 0) headers.emplace_back(name, value);
+    }
+    return End(passing, result.code, result.body, headers);
+  }
+  passing->may_be_taken = passing->may_be_taken || result.written;
+  if (!passing->may_be_taken) return End(passing, 503, "the planner can't be reached\n", {});
+  if (std::chrono::steady_clock::now() + kTryAgain >= passing->limit) {
+    return End(passing, 504, "not known whether it was taken: hand it in again under the same id\n", {});
+  }
+  // The same planner and the same id: if it was taken, the answer is the same and there is no second message.
+  waiting_.insert(passing);
+  passing->timer.After(kTryAgain);
+}
+
+void Forwarder::End(const std::shared_ptr<Passing>& passing, int code, const std::string& body,
+                    const Headers& headers) {
+  passing->exchange->Answer(code, body, headers);
+  waiting_.erase(passing);
+  --out_;
+  EndIfDone();
+}
+
+void Forwarder::EndIfDone() {
+  if (stopping_ && out_ == 0) end_.After(milliseconds(400));  // new connections come for so long
+}
+
+void Forwarder::Stop() {
+  if (std::exchange(stopping_, true)) return;
+  Print("stopping: " + std::to_string(out_) + " submissions on their way");
+  plain_->CloseBetweenRequests();
+  events_->CloseBetweenRequests();
+  end_.After(kLongestStop);
+  EndIfDone();
+}
+
+}  // namespace sagetally
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -65,7 +65,8 @@
   return news;
 }
 
-Config ParseConfig(const std::string& text, const std::function<const char*(const char*)>& environment) {
+Config ParseConfig(const std::string& text, const std::function<const char*(const char*)>& environment,
+                   bool platform) {
   simdjson::dom::parser parser;
   Value root;
   if (const auto error = parser.parse(text).get(root)) {
@@ -78,9 +79,10 @@
   Config c;
   c.name = told("BALANCER_NAME", "name");
   c.listen = ParseAddress(told("BALANCER_LISTEN", "listen"), "listen");
-  c.discovery = ParseAddress(told("BALANCER_DISCOVERY", "discovery"), "discovery");
+  const std::string discovery = told("BALANCER_DISCOVERY", "discovery");
+  if (platform || !discovery.empty()) c.discovery = ParseAddress(discovery, "discovery");
   c.state_folder = told("BALANCER_STATE", "state");
-  if (c.state_folder.empty()) Malformed("missing field 'state' (BALANCER_STATE)");
+  if (c.state_folder.empty() && platform) Malformed("missing field 'state' (BALANCER_STATE)");
   const auto seed = Get<std::string>(root, "seed", "0");
   if (std::from_chars(seed.data(), seed.data() + seed.size(), c.seed, 16).ptr != seed.data() + seed.size()) {
     Malformed("wrong type of 'seed'");
@@ -109,14 +111,14 @@
   return c;
 }
 
-Config ReadConfig(const std::function<const char*(const char*)>& environment) {
+Config ReadConfig(const std::function<const char*(const char*)>& environment, bool platform) {
   const char* path = environment("BALANCER_CONFIG");
   if (path == nullptr || *path == 0) Malformed("BALANCER_CONFIG is not set");
   std::ifstream file(path);
   if (!file) Malformed(std::string("BALANCER_CONFIG: can't read '") + path + "'");
   std::ostringstream text;
   text << file.rdbuf();
-  return ParseConfig(text.str(), environment);
+  return ParseConfig(text.str(), environment, platform);
 }
 
 }  // namespace sagetally
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -33,8 +33,10 @@
 
 // Reads the file named by BALANCER_CONFIG; the other BALANCER_ variables go before what it says.
 // Throws std::runtime_error naming the key at fault.
-Config ReadConfig(const std::function<const char*(const char*)>& environment);
-Config ParseConfig(const std::string& text, const std::function<const char*(const char*)>& environment);
+// Off the platform (`platform` false) there may be no discovery and no state folder.
+Config ReadConfig(const std::function<const char*(const char*)>& environment, bool platform = true);
+Config ParseConfig(const std::string& text, const std::function<const char*(const char*)>& environment,
+                   bool platform = true);
 
 // A list in discovery's form.
 ListNews ReadList(json::Value list, const SiteSettings& site);
--- a/src/core/ledger.cpp
+++ b/src/core/ledger.cpp
@@ -44,7 +44,7 @@
 }
 
 void Ledger::Settle(Message& message) {
-  if (message.end == End::kNone || message.out) return;
+  if (message.end == End::kNone || message.out || !message.answered) return;
   if (Remembers(message)) {
     message.request.body = std::string();  // only its answer is wanted any more
     return;
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -42,6 +42,7 @@
   Duration again{0};  // kRefused: when the client may come again
   Time ended_at{0};
   bool notice_owed = false;  // the end has still to be told
+  bool answered = true;      // its client knows that it was taken, or refused
 };
 
 enum class Verdict { kTaken, kRefused, kStopping, kInvalid };
--- a/src/front/platform/platform.cpp
+++ b/src/front/platform/platform.cpp
@@ -34,13 +34,13 @@
   return std::nullopt;
 }
 
-std::string PlatformFront::Read(const Exchange& exchange, Request& request) const {
+std::string ReadPlain(const Exchange& exchange, const SiteSettings& site, Request& request) {
   const std::string name = exchange.Header("X-Class");
   const std::string path = exchange.path();
   const std::string first = path.empty() ? "" : path.substr(1, path.find('/', 1) - 1);
-  const auto at = std::find(site_.classes.begin(), site_.classes.end(), name.empty() ? first : name);
-  if (at == site_.classes.end()) return "unknown class in X-Class or the path";
-  request.message_class = static_cast<int>(at - site_.classes.begin());
+  const auto at = std::find(site.classes.begin(), site.classes.end(), name.empty() ? first : name);
+  if (at == site.classes.end()) return "unknown class in X-Class or the path";
+  request.message_class = static_cast<int>(at - site.classes.begin());
   request.id = exchange.Header("X-Request-Id");
   if (request.id.empty()) return "X-Request-Id is missing";
   const auto left = ParseDeadline(exchange.Header("X-Deadline"));
@@ -57,7 +57,7 @@
 void PlatformFront::Handle(const std::shared_ptr<Exchange>& exchange) {
   if (AnsweredAside(*exchange)) return;
   Request request;
-  if (const std::string problem = Read(*exchange, request); !problem.empty()) {
+  if (const std::string problem = ReadPlain(*exchange, site_, request); !problem.empty()) {
     exchange->Answer(400, problem + "\n");
     return;
   }
--- a/src/front/platform/platform.h
+++ b/src/front/platform/platform.h
@@ -17,15 +17,15 @@
 std::optional<Duration> ParseDeadline(std::string_view text);
 // The `dest` of "dest=7" or "a=1,dest=7".
 std::optional<int> ParseDestination(std::string_view envelope);
+// Fills `request` from a message in the platform's form, or says what is wrong.
+std::string ReadPlain(const Exchange& exchange, const SiteSettings& site, Request& request);
+
 class PlatformFront {
  public:
   PlatformFront(const SiteSettings& site, Intake& intake) : site_(site), intake_(intake) {}
   void Handle(const std::shared_ptr<Exchange>& exchange);
 
  private:
-  // Fills `request`, or says what is wrong.
-  std::string Read(const Exchange& exchange, Request& request) const;
-
   const SiteSettings& site_;
   Intake& intake_;
 };
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -6,18 +6,34 @@
 #include <exception>
 
 #include "app/dispatcher.h"
+#include "app/forwarder.h"
+
+namespace {
+
+template <typename Node>
+void Serve(sagetally::Loop& loop, Node& node) {
+  const sagetally::Signal term(loop, SIGTERM, [&] { node.Stop(); });
+  const sagetally::Signal interrupt(loop, SIGINT, [&] { node.Stop(); });
+  loop.Run();
+}
+
+}  // namespace
 
 int main() {
   std::signal(SIGPIPE, SIG_IGN);
   try {
-    const sagetally::Config config =
-        sagetally::ReadConfig([](const char* name) { return static_cast<const char*>(std::getenv(name)); });
     const sagetally::DeployFile deploy = sagetally::ReadDeployFile("deploy/node.json");
+    const bool platform = deploy.role == sagetally::Role::kBoth;
+    const sagetally::Config config = sagetally::ReadConfig(
+        [](const char* name) { return static_cast<const char*>(std::getenv(name)); }, platform);
     sagetally::Loop loop;
-    sagetally::Dispatcher dispatcher(loop, config, deploy);
-    const sagetally::Signal term(loop, SIGTERM, [&] { dispatcher.Stop(); });
-    const sagetally::Signal interrupt(loop, SIGINT, [&] { dispatcher.Stop(); });
-    loop.Run();
+    if (deploy.role == sagetally::Role::kForwarder) {
+      sagetally::Forwarder forwarder(loop, config.site, config.listen, deploy);
+      Serve(loop, forwarder);
+    } else {
+      sagetally::Dispatcher dispatcher(loop, config, deploy);
+      Serve(loop, dispatcher);
+    }
     return 0;
   } catch (const std::exception& error) {
     std::fprintf(stderr, "sagetally: %s\n", error.what());
--- a/src/net/endpoint_pool.cpp
+++ b/src/net/endpoint_pool.cpp
@@ -1,7 +1,6 @@
 #include "net/endpoint_pool.h"
 
 #include <event2/buffer.h>
-#include <event2/bufferevent.h>
 #include <event2/http_struct.h>
 
 #include <algorithm>
@@ -10,6 +9,8 @@
 #include <cstring>
 #include <utility>
 
+#include "net/written.h"
+
 namespace sagetally {
 namespace {
 
@@ -79,18 +80,20 @@
         endpoint_(endpoint),
         connection_(evhttp_connection_base_new(pool.loop_.base(), nullptr, endpoint.address.host.c_str(),
                                                endpoint.address.port)),
+        watch_(connection_.get(),
+               [this] {
+                 connected_ = true;
+                 connect_.Stop();
+               }),
         connect_(pool.loop_, [this] { GiveUp(Outcome::kConnectFailed); }),
-        time_out_(pool.loop_, [this] { GiveUp(written_ ? Outcome::kTimeout : Outcome::kConnectFailed); }),
+        time_out_(pool.loop_,
+                  [this] { GiveUp(watch_.written() ? Outcome::kTimeout : Outcome::kConnectFailed); }),
         idle_(pool.loop_, [this] { pool_.Drop(*this); }) {
     evhttp_connection_set_retries(connection_.get(), 0);
     evhttp_connection_set_timeout(connection_.get(), 24 * 3600);  // the timers here decide
     evhttp_connection_set_closecb(connection_.get(), Closed, this);
-    evbuffer_add_cb(bufferevent_get_output(buffers()), Moved, this);
-  }
-  ~Connection() {
-    evhttp_connection_set_closecb(connection_.get(), nullptr, nullptr);
-    evbuffer_remove_cb(bufferevent_get_output(buffers()), Moved, this);
   }
+  ~Connection() { evhttp_connection_set_closecb(connection_.get(), nullptr, nullptr); }
 
   Endpoint& endpoint() { return endpoint_; }
   std::uint64_t number() const { return number_; }
@@ -100,7 +103,7 @@
   void Call(const CallOrder& order) {
     number_ = order.number;
     busy_ = true;
-    written_ = false;
+    watch_.Start();
     idle_.Stop();
     evhttp_request* request = evhttp_request_new(Done, this);
     evkeyvalq* headers = evhttp_request_get_output_headers(request);
@@ -138,22 +141,6 @@
   }
 
  private:
-  bufferevent* buffers() { return evhttp_connection_get_bufferevent(connection_.get()); }
-
-  // The request reaches the buffer once the connection is up, and leaves it with its last byte.
-  static void Moved(evbuffer* buffer, const evbuffer_cb_info* info, void* self) {
-    auto* c = static_cast<Connection*>(self);
-    if (info->n_added > 0) {
-      c->connected_ = true;
-      c->connect_.Stop();
-    }
-    // libevent empties the buffer of a failed connection too, once its socket is gone.
-    if (info->n_deleted > 0 && evbuffer_get_length(buffer) == 0 && c->busy_ &&
-        bufferevent_getfd(c->buffers()) != -1) {
-      c->written_ = true;
-    }
-  }
-
   static void Closed(evhttp_connection*, void* self) {
     auto* c = static_cast<Connection*>(self);
     if (!c->busy_ && !c->dead_) c->pool_.Drop(*c);
@@ -165,7 +152,7 @@
     CallResult result;
     bool reusable = false;
     if (answer == nullptr || evhttp_request_get_response_code(answer) == 0) {
-      result.outcome = c->written_ ? Outcome::kReset : Outcome::kConnectFailed;
+      result.outcome = c->watch_.written() ? Outcome::kReset : Outcome::kConnectFailed;
     } else {
       result = ReadAnswer(answer);
       const char* keep = evhttp_find_header(evhttp_request_get_input_headers(answer), "Connection");
@@ -179,9 +166,10 @@
   EndpointPool& pool_;
   Endpoint& endpoint_;
   ConnectionPtr connection_;
+  WrittenWatch watch_;
   Timer connect_, time_out_, idle_;
   std::uint64_t number_ = 0;
-  bool busy_ = false, connected_ = false, written_ = false, dead_ = false;
+  bool busy_ = false, connected_ = false, dead_ = false;
 };
 
 EndpointPool::EndpointPool(Loop& loop, Limits limits, std::function<void(const CallResult&)> back)
--- /dev/null
+++ b/src/net/http_calls.h
@@ -0,0 +1,45 @@
+// Single HTTP requests to other processes, each on a connection of its own and sent once.
+#ifndef SAGETALLY_SRC_NET_HTTP_CALLS_H_
+#define SAGETALLY_SRC_NET_HTTP_CALLS_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "config/config.h"
+#include "net/loop.h"
+
+namespace sagetally {
+
+struct HttpResult {
+  int code = 0;          // 0: no answer
+  bool written = false;  // the whole request went out: it may have been read
+  std::string body = {};
+  std::vector<std::pair<std::string, std::string>> headers = {};
+};
+
+class HttpCalls {
+ public:
+  using Done = std::function<void(const HttpResult&)>;
+  explicit HttpCalls(Loop& loop);
+  ~HttpCalls();
+
+  void Send(const Address& to, evhttp_cmd_type method, const std::string& path,
+            const std::vector<std::pair<std::string, std::string>>& headers, const std::string& body,
+            Duration time_out, Done done);
+
+ private:
+  class One;
+
+  Loop& loop_;
+  std::map<One*, std::unique_ptr<One>> out_;
+  std::vector<std::unique_ptr<One>> over_;  // freed once libevent is out of them
+  Timer sweep_;
+};
+
+}  // namespace sagetally
+
+#endif  // SAGETALLY_SRC_NET_HTTP_CALLS_H_
--- /dev/null
+++ b/src/net/written.h
@@ -0,0 +1,46 @@
+// Tells when a request's last byte has gone to the socket of an evhttp connection.
+#ifndef SAGETALLY_SRC_NET_WRITTEN_H_
+#define SAGETALLY_SRC_NET_WRITTEN_H_
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+
+#include <functional>
+#include <utility>
+
+#include "net/loop.h"
+
+namespace sagetally {
+
+class WrittenWatch {
+ public:
+  // `connected` is called when a request reaches the connection's buffer: once the connection is up.
+  WrittenWatch(evhttp_connection* connection, std::function<void()> connected)
+      : buffers_(evhttp_connection_get_bufferevent(connection)), connected_(std::move(connected)) {
+    evbuffer_add_cb(bufferevent_get_output(buffers_), Moved, this);
+  }
+  ~WrittenWatch() { evbuffer_remove_cb(bufferevent_get_output(buffers_), Moved, this); }
+  WrittenWatch(const WrittenWatch&) = delete;
+  WrittenWatch& operator=(const WrittenWatch&) = delete;
+
+  void Start() { written_ = false; }  // a new request follows
+  bool written() const { return written_; }
+
+ private:
+  static void Moved(evbuffer* buffer, const evbuffer_cb_info* info, void* self) {
+    auto* w = static_cast<WrittenWatch*>(self);
+    if (info->n_added > 0) w->connected_();
+    // libevent empties the buffer of a failed connection too, once its socket is gone.
+    if (info->n_deleted > 0 && evbuffer_get_length(buffer) == 0 && bufferevent_getfd(w->buffers_) != -1) {
+      w->written_ = true;
+    }
+  }
+
+  bufferevent* buffers_;
+  std::function<void()> connected_;
+  bool written_ = false;
+};
+
+}  // namespace sagetally
+
+#endif  // SAGETALLY_SRC_NET_WRITTEN_H_
--- /dev/null
+++ b/src/registry/planners.h
@@ -0,0 +1,25 @@
+// Which planner a destination belongs to, and the partner endpoints that a registry lists.
+#ifndef SAGETALLY_SRC_REGISTRY_PLANNERS_H_
+#define SAGETALLY_SRC_REGISTRY_PLANNERS_H_
+
+#include <string>
+#include <vector>
+
+#include "config/settings.h"
+#include "core/types.h"
+#include "registry/eureka.h"
+
+namespace sagetally {
+
+// Rendezvous hashing: the instance that is UP with the highest weight for the destination; every forwarder
+// with the same list picks the same one, and a planner that goes moves only its own destinations.
+const Instance* PickPlanner(const std::map<std::string, Instance>& planners, int destination);
+
+// The instances of the partners' application as a whole list. Metadata: destination, kind, zone, rate.
+// What can't be read is left out and named in `problems`.
+ListNews PartnerList(const std::map<std::string, Instance>& partners, const SiteSettings& site,
+                     std::vector<std::string>& problems);
+
+}  // namespace sagetally
+
+#endif  // SAGETALLY_SRC_REGISTRY_PLANNERS_H_
--- a/src/stages/admit.cpp
+++ b/src/stages/admit.cpp
@@ -20,6 +20,7 @@
     Message message;
     message.deadline = now + request.time_left;
     message.request = std::move(request);
+    message.answered = false;
     const Message& added = ledger_.Add(std::move(message));
     taken.push_back(&added);
     waiting.numbers.push_back(added.number);
@@ -37,20 +38,22 @@
 void Admit::AnswerTaken() {
   for (Waiting& waiting : std::exchange(waiting_, {})) {
     Message* only = waiting.numbers.size() == 1 ? ledger_.Find(waiting.numbers.front()) : nullptr;
-    if (only != nullptr && only->end == End::kRefused && only->attempts == 0) {
-      // Given up in the same step: the answer itself is the end.
-      const Answer answer{Verdict::kRefused, only->again, "no room"};
-      book_.ToldInAnswer(*only);
-      waiting.reply(answer);
-      continue;
-    }
-    if (waiting.reply({})) continue;
-    // The client closed before it was answered and hands the message in anew: this copy is withdrawn.
+    // Given up in the same step: the answer itself is the end, and no notice is owed.
+    const bool refused = only != nullptr && only->end == End::kRefused && only->attempts == 0;
+    const bool heard = waiting.reply(refused ? Answer{Verdict::kRefused, only->again, "no room"} : Answer());
     for (const std::uint64_t number : waiting.numbers) {
       Message* m = ledger_.Find(number);
-      if (m == nullptr || m->end != End::kNone) continue;
-      route_.Withdrawn(*m);
-      book_.End(*m, End::kOver);
+      if (m == nullptr) continue;
+      m->answered = true;
+      if (!heard && m->end == End::kNone) {
+        // The client closed before it was answered and hands the message in anew: this copy is withdrawn.
+        route_.Withdrawn(*m);
+        book_.End(*m, End::kOver);
+      } else if (m->notice_owed && (refused || !heard)) {
+        book_.Heard(number);
+      } else {
+        book_.Tell(*m);
+      }
     }
   }
 }
--- a/src/stages/book.cpp
+++ b/src/stages/book.cpp
@@ -8,6 +8,10 @@
   if (message.end != End::kNone) return;
   ledger_.End(message, end, again, clock_.Now());
   journal_.Ended(message);
+  if (message.answered) Tell(message);
+}
+
+void Book::Tell(Message& message) {
   if (message.notice_owed) teller_.Tell(message);
   ledger_.Settle(message);
 }
@@ -16,8 +20,6 @@
   if (Message* message = ledger_.Find(number)) message->notice_owed = false;
 }
 
-void Book::ToldInAnswer(Message& message) { Heard(message.number); }
-
 void Book::Heard(std::uint64_t number) {
   Message* message = ledger_.Find(number);
   if (message == nullptr || !message->notice_owed) return;
@@ -32,9 +34,7 @@
     if (message.notice_owed) owed.push_back(number);
   }
   for (const std::uint64_t number : owed) {
-    Message& message = *ledger_.Find(number);
-    teller_.Tell(message);
-    ledger_.Settle(message);
+    Tell(*ledger_.Find(number));
   }
 }
 
--- a/src/stages/book.h
+++ b/src/stages/book.h
@@ -14,8 +14,7 @@
       : ledger_(ledger), journal_(journal), teller_(teller), clock_(clock) {}
 
   void End(Message& message, enum End end, Duration again = Duration(0));
-  // The answer to the client was the end: no notice is owed.
-  void ToldInAnswer(Message& message);
+  void Tell(Message& message);              // its end, if a notice is owed; then lets it go
   void Heard(std::uint64_t number);         // a notice arrived
   void NobodyToTell(std::uint64_t number);  // from within Tell: its end has no hearer
   void TellAgain();                         // after a restart: all that is owed
--- /dev/null
+++ b/tests/node/cloudevents_test.cpp
@@ -0,0 +1,226 @@
+// The CloudEvents front: its parsers by tables, its rules on real sockets, and mixed traffic whose outcomes
+// are counted message by message.
+#include "front/cloudevents/event.h"
+#include "world.h"
+
+namespace sagetally {
+namespace {
+
+const char kStructuredType[] = "application/cloudevents+json";
+const char kBatchType[] = "application/cloudevents-batch+json";
+
+std::string Event(const std::string& id, const std::string& cls, const std::string& more = "") {
+  return R"({"specversion":"1.0","id":")" + id + R"(","source":"/shop","type":"t","messageclass":")" + cls +
+         R"(","destination":7,"deadlinems":9000,"idempotencykey":"k-)" + id + "\"" + more + "}";
+}
+Headers Binary(const std::string& id, const std::string& cls) {
+  return {{"ce-specversion", "1.0"},        {"ce-id", id},
+          {"ce-source", "/shop"},           {"ce-type", "t"},
+          {"ce-destination", "7"},          {"ce-messageclass", cls},
+          {"ce-idempotencykey", "k-" + id}, {"Content-Type", "text/plain"},
+          {"ce-deadlinems", "9000"}};
+}
+std::string IdOf(const std::string& id) { return "/shop|" + id; }
+
+void HeadersArePercentEncoded() {
+  const std::pair<std::string, std::string> table[] = {
+      {"plain", "plain"}, {"a b", "a%20b"}, {"50%", "50%25"}, {"\"q\"", "%22q%22"}, {"\xc3\xa9", "%C3%A9"}};
+  for (const auto& [text, header] : table) {
+    assert(EncodeHeader(text) == header && DecodeHeader(header) == text);
+  }
+  assert(DecodeHeader("%zz%4") == "%zz%4");
+}
+
+void AllModesAreRead() {
+  const std::tuple<const char*, std::string, std::string> good[] = {
+      {kStructuredType, Event("a", "aviso", R"(,"data":{"x": 1})"), R"({"x":1})"},
+      {kStructuredType, Event("a", "aviso", R"(,"datacontenttype":"text/plain","data":"hi")"), "hi"},
+      {kStructuredType, Event("a", "aviso", R"(,"data_base64":"AAH/")"), std::string("\0\1\xff", 3)},
+      {"application/cloudevents+json; charset=utf-8", Event("a", "aviso"), ""}};
+  for (const auto& [type, body, data] : good) {
+    const auto events = ReadEvents({{"Content-Type", type}}, body);
+    assert(events.size() == 1 && events[0].data == data && events[0].attributes.at("destination") == "7");
+  }
+  assert(ReadEvents({{"Content-Type", kBatchType}}, "[]").empty());
+  assert(ReadEvents({{"Content-Type", kBatchType}}, "[" + Event("a", "x") + "," + Event("b", "y") + "]")
+             .size() == 2);
+  const auto binary = ReadEvents(Binary("a%20b", "aviso"), "bytes");
+  assert(binary[0].data == "bytes" && binary[0].attributes.at("id") == "a b");
+  assert(binary[0].attributes.at("datacontenttype") == "text/plain");
+}
+
+void MalformedEventsAreRefusedWithAReason() {
+  const std::tuple<const char*, std::string, const char*> bad[] = {
+      {kStructuredType, "{", "JSON"},
+      {kStructuredType, "[]", "object"},
+      {kStructuredType, R"({"specversion":"1.0","id":"a","source":"s"})", "type"},
+      {kStructuredType, R"({"specversion":"0.3","id":"a","source":"s","type":"t"})", "specversion"},
+      {kStructuredType, Event("", "aviso"), "id"},
+      {kStructuredType, Event("a", "aviso", R"(,"Bad":"x")"), "lower-case"},
+      {kStructuredType, Event("a", "aviso", R"(,"bad":1.5)"), "bad"},
+      {kStructuredType, Event("a", "aviso", R"(,"data_base64":"?")"), "base64"},
+      {kStructuredType, Event("a", "aviso", R"(,"data":1,"data_base64":"AAAA")"), "both"},
+      {kBatchType, Event("a", "aviso"), "array"},
+      {kBatchType, "[" + Event("a", "aviso") + ",3]", "member 1"},
+      {"text/plain", "x", "no event"}};
+  for (const auto& [type, body, why] : bad) {
+    std::string said;
+    try {
+      ReadEvents({{"Content-Type", type}}, body);
+    } catch (const std::exception& e) {
+      said = e.what();
+    }
+    assert(said.find(why) != std::string::npos);
+  }
+}
+
+void ABinaryEventArrivesAsOne() {
+  World w;
+  w.Start();
+  const std::string body("\0\1x", 3);
+  assert(w.Code(w.PostEvent(Binary("e1", "pedido"), body)) == 202);
+  Until(w.loop, [&] { return w.Calls() == 1; });
+  const Seen& seen = w.endpoints[0]->calls[0];
+  assert(seen.body == body && seen.key == "k-e1" && seen.id == IdOf("e1"));
+  assert(HeaderOf(seen.headers, "ce-id") == "e1" && HeaderOf(seen.headers, "ce-source") == "/shop");
+  assert(HeaderOf(seen.headers, "Content-Type") == "text/plain");
+}
+
+void AnEventThatComesAgainIsNoSecondMessage() {
+  World w;
+  w.endpoints[0]->otherwise = 0;
+  w.Start();
+  for (int i = 0; i < 2; ++i) assert(w.Code(w.PostEvent(Binary("e1", "aviso"), "x")) == 202);  // while held
+  Until(w.loop, [&] { return w.Calls() == 1; });
+  w.endpoints[0]->Release();
+  assert(w.Code(w.PostEvent(Binary("e2", "aviso"), "x")) == 202);
+  Until(w.loop, [&] { return w.CallsOf(IdOf("e2")) == 1; });
+  assert(w.Code(w.PostEvent(Binary("e1", "aviso"), "x")) == 202);  // after its end
+  w.Kill();
+  w.Start();
+  assert(w.Code(w.PostEvent(Binary("e1", "aviso"), "x")) == 202);  // and after a restart
+  assert(w.Code(w.PostEvent(Binary("e3", "aviso"), "x")) == 202);
+  Until(w.loop, [&] { return w.CallsOf(IdOf("e3")) == 1; });
+  assert(w.CallsOf(IdOf("e1")) == 1);
+}
+
+void AfterARefusalItIsANewMessage() {
+  World w(1, 1, 3);
+  w.endpoints[0]->otherwise = 0;
+  w.Start();
+  std::string refused;
+  for (int i = 0; refused.empty(); ++i) {
+    const std::string id = "e" + std::to_string(i);
+    if (w.Code(w.PostEvent(Binary(id, "aviso"), "x")) == 429) refused = id;
+  }
+  w.endpoints[0]->Release();
+  Until(w.loop, [&] { return w.Calls() >= 2; });
+  int code = 429;
+  while (code == 429) code = w.Code(w.PostEvent(Binary(refused, "aviso"), "x"));
+  assert(code == 202);
+  Until(w.loop, [&] { return w.CallsOf(IdOf(refused)) == 1; });
+}
+
+void ABatchIsTakenWholeOrNotAtAll() {
+  World w(1, 8, 6);
+  w.Start();
+  const Headers type = {{"Content-Type", kBatchType}};
+  const std::string good = "[" + Event("a", "aviso") + "," + Event("b", "pagamento") + "]";
+  for (const std::string& bad : {"[" + Event("x", "aviso") + "," + Event("y", "nosuch") + "]",
+                                 std::string("[") + Event("x", "aviso")}) {
+    assert(w.Code(w.PostEvent(type, bad)) == 400);
+  }
+  std::string many;
+  for (int i = 0; i < 7; ++i) many += (i == 0 ? "" : ",") + Event("x" + std::to_string(i), "aviso");
+  assert(w.Code(w.PostEvent(type, "[" + many + "]")) == 429);
+  assert(w.Code(w.PostEvent(type, good)) == 202);
+  Until(w.loop, [&] { return w.Calls() == 2; });
+  assert(w.CallsOf(IdOf("a")) == 1 && w.CallsOf(IdOf("b")) == 1);
+}
+
+// Members of one batch follow their own classes, and their ends go to the sink until it has heard them.
+void EndsGoToTheSinkByClass() {
+  World w;
+  std::string heard;
+  int asked = 0;
+  w.sink = std::make_unique<Server>(w.loop, Address{"127.0.0.1", 0}, 1 << 20,
+                                    [&](const std::shared_ptr<Exchange>& e) {
+                                      if (asked++ == 0) return void(e->Answer(503));
+                                      heard += e->body();
+                                      e->Answer(200);
+                                    });
+  w.endpoints[0]->otherwise = 500;
+  w.Start();
+  const std::string batch = "[" + Event("a", "aviso") + "," + Event("p", "pagamento") + "]";
+  assert(w.Code(w.PostEvent({{"Content-Type", kBatchType}}, batch)) == 202);
+  Until(w.loop, [&] { return heard.find("sagetally.undeliverable") != std::string::npos; });
+  const auto events = ReadEvents({{"Content-Type", kBatchType}}, heard);
+  assert(events[0].attributes.at("subject") == "p");
+  assert(events[0].data == R"({"source":"/shop","id":"p","status":"undeliverable"})");
+  w.endpoints[0]->Release();
+  Until(w.loop, [&] { return w.CallsOf(IdOf("a")) >= 2; });
+  assert(w.CallsOf(IdOf("p")) == 1);
+}
+
+// The proof of the two fronts: the same messages, each sent once through either front in the same world,
+// meet the same outcomes, counted message by message.
+void MixedTrafficMeetsTheSameOutcomes() {
+  const std::string classes[] = {"aviso", "pedido", "pagamento"};
+  const auto play = [&](bool events_first) {
+    World w(1, 4, 40);
+    std::string results;
+    w.sink = std::make_unique<Server>(w.loop, Address{"127.0.0.1", 0}, 1 << 20,
+                                      [&](const std::shared_ptr<Exchange>& e) {
+                                        results += e->body();
+                                        e->Answer(200);
+                                      });
+    w.Start();
+    std::map<std::string, std::string> outcomes;  // by message: answer, calls, end
+    for (int i = 0; i < 24; ++i) {
+      const std::string id = "m" + std::to_string(i), cls = classes[i % 3];
+      const bool as_event = (i % 2 == 0) == events_first;
+      // One message at a time, so that both plays meet the endpoint in the same state.
+      const int fate = i % 4;  // delivered, an error first, given up by its class, a bad class
+      w.endpoints[0]->script.clear();
+      if (fate == 1) w.endpoints[0]->script = {500};
+      const std::string named = fate == 3 ? "nosuch" : cls;
+      Ask& ask = as_event ? w.PostEvent(Binary(id, named), "x") : w.Post(named, id);
+      const int code = w.Code(ask);
+      const std::string at_endpoint = as_event ? IdOf(id) : id;
+      const bool lost = fate == 1 && cls == "pagamento";
+      const std::size_t expected = fate == 3 ? 0 : fate == 1 && !lost ? 2 : 1;
+      const auto told = [&] {
+        return as_event ? results.find("\"id\":\"" + id + "\",\"status\":\"undeliverable\"") != results.npos
+                        : w.agent.Told("\"id\":\"" + id + "\",\"status\":\"undeliverable\"");
+      };
+      Until(w.loop, [&] { return w.CallsOf(at_endpoint) >= expected && (!lost || told()); });
+      outcomes[id] = std::to_string(code) + " calls " + std::to_string(w.CallsOf(at_endpoint)) +
+                     (told() ? " undeliverable" : "");
+    }
+    RunFor(w.loop, 50ms);  // nothing more comes
+    return outcomes;
+  };
+  const auto one = play(true), other = play(false);
+  assert(one.size() == 24 && one == other);
+  std::map<std::string, int> counted;
+  for (const auto& [id, outcome] : one) ++counted[outcome];
+  assert(counted["400 calls 0"] == 6 && counted["202 calls 1 undeliverable"] == 2);
+  assert(counted["202 calls 2"] == 4 && counted["202 calls 1"] == 12);
+}
+
+}  // namespace
+}  // namespace sagetally
+
+int main() {
+  using namespace sagetally;
+  HeadersArePercentEncoded();
+  AllModesAreRead();
+  MalformedEventsAreRefusedWithAReason();
+  ABinaryEventArrivesAsOne();
+  AnEventThatComesAgainIsNoSecondMessage();
+  AfterARefusalItIsANewMessage();
+  ABatchIsTakenWholeOrNotAtAll();
+  EndsGoToTheSinkByClass();
+  MixedTrafficMeetsTheSameOutcomes();
+  std::puts("9 passed, 0 failed");
+}
