Test forwarders and planners against a stand-in registry

Seen: roles had no test. Added: parsers of Eureka's answers by tables, rendezvous stability, messages through both levels (plain, structured, batched), renewal forgotten, planner stopped, registry lost, planner silent or gone.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -66,7 +66,7 @@
 }
 
 Config ParseConfig(const std::string& text, const std::function<const char*(const char*)>& environment,
-                   bool platform) {
+                   Needs needs) {
   simdjson::dom::parser parser;
   Value root;
   if (const auto error = parser.parse(text).get(root)) {
@@ -80,9 +80,9 @@
   c.name = told("BALANCER_NAME", "name");
   c.listen = ParseAddress(told("BALANCER_LISTEN", "listen"), "listen");
   const std::string discovery = told("BALANCER_DISCOVERY", "discovery");
-  if (platform || !discovery.empty()) c.discovery = ParseAddress(discovery, "discovery");
+  if (needs.discovery || !discovery.empty()) c.discovery = ParseAddress(discovery, "discovery");
   c.state_folder = told("BALANCER_STATE", "state");
-  if (c.state_folder.empty() && platform) Malformed("missing field 'state' (BALANCER_STATE)");
+  if (c.state_folder.empty() && needs.state) Malformed("missing field 'state' (BALANCER_STATE)");
   const auto seed = Get<std::string>(root, "seed", "0");
   if (std::from_chars(seed.data(), seed.data() + seed.size(), c.seed, 16).ptr != seed.data() + seed.size()) {
     Malformed("wrong type of 'seed'");
@@ -111,14 +111,14 @@
   return c;
 }
 
-Config ReadConfig(const std::function<const char*(const char*)>& environment, bool platform) {
+Config ReadConfig(const std::function<const char*(const char*)>& environment, Needs needs) {
   const char* path = environment("BALANCER_CONFIG");
   if (path == nullptr || *path == 0) Malformed("BALANCER_CONFIG is not set");
   std::ifstream file(path);
   if (!file) Malformed(std::string("BALANCER_CONFIG: can't read '") + path + "'");
   std::ostringstream text;
   text << file.rdbuf();
-  return ParseConfig(text.str(), environment, platform);
+  return ParseConfig(text.str(), environment, needs);
 }
 
 }  // namespace sagetally
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -33,10 +33,13 @@
 
 // Reads the file named by BALANCER_CONFIG; the other BALANCER_ variables go before what it says.
 // Throws std::runtime_error naming the key at fault.
-// Off the platform (`platform` false) there may be no discovery and no state folder.
-Config ReadConfig(const std::function<const char*(const char*)>& environment, bool platform = true);
+// What a process of its role needs of the platform. Off it a planner has no discovery, a forwarder no state.
+struct Needs {
+  bool discovery = true, state = true;
+};
+Config ReadConfig(const std::function<const char*(const char*)>& environment, Needs needs = Needs());
 Config ParseConfig(const std::string& text, const std::function<const char*(const char*)>& environment,
-                   bool platform = true);
+                   Needs needs = Needs());
 
 // A list in discovery's form.
 ListNews ReadList(json::Value list, const SiteSettings& site);
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -23,9 +23,10 @@
   std::signal(SIGPIPE, SIG_IGN);
   try {
     const sagetally::DeployFile deploy = sagetally::ReadDeployFile("deploy/node.json");
-    const bool platform = deploy.role == sagetally::Role::kBoth;
+    const sagetally::Needs needs{deploy.role == sagetally::Role::kBoth,
+                                 deploy.role != sagetally::Role::kForwarder};
     const sagetally::Config config = sagetally::ReadConfig(
-        [](const char* name) { return static_cast<const char*>(std::getenv(name)); }, platform);
+        [](const char* name) { return static_cast<const char*>(std::getenv(name)); }, needs);
     sagetally::Loop loop;
     if (deploy.role == sagetally::Role::kForwarder) {
       sagetally::Forwarder forwarder(loop, config.site, config.listen, deploy);
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -27,6 +27,10 @@
       return "GET";
     case EVHTTP_REQ_POST:
       return "POST";
+    case EVHTTP_REQ_PUT:
+      return "PUT";
+    case EVHTTP_REQ_DELETE:
+      return "DELETE";
     default:
       return "OTHER";
   }
--- a/src/registry/eureka.h
+++ b/src/registry/eureka.h
@@ -15,9 +15,9 @@
 namespace sagetally {
 
 struct Instance {
-  std::string id, app, host, status;
+  std::string id = {}, app = {}, host = {}, status = {};
   std::uint16_t port = 0;
-  std::map<std::string, std::string> metadata;
+  std::map<std::string, std::string> metadata = {};
   bool up() const { return status == "UP"; }
   bool operator==(const Instance&) const = default;
 };
--- /dev/null
+++ b/tests/node/roles_test.cpp
@@ -0,0 +1,265 @@
+// Forwarders and planners round a stand-in registry that speaks Eureka's REST API.
+#include <set>
+
+#include "app/forwarder.h"
+#include "registry/planners.h"
+#include "world.h"
+
+namespace sagetally {
+namespace {
+
+// The registry: apps by POST, PUT and DELETE; whole lists and deltas by GET.
+class StandInEureka {
+ public:
+  explicit StandInEureka(Loop& loop)
+      : server_(loop, {"127.0.0.1", 0}, 1 << 20, [this](std::shared_ptr<Exchange> e) { Asked(*e); }) {}
+  std::uint16_t port() const { return server_.port(); }
+  void Put(const std::string& app, const std::string& id, std::uint16_t port, const std::string& more = "") {
+    const std::string text =
+        "{\"instanceId\":\"" + id + "\",\"hostName\":\"h\",\"ipAddr\":\"127.0.0.1\"," + "\"app\":\"" + app +
+        "\",\"status\":\"UP\",\"port\":{\"$\":" + std::to_string(port) + ",\"@enabled\":\"true\"}" + more;
+    instances[{app, id}] = text;
+    changes.push_back({app, text + ",\"actionType\":\"ADDED\"}"});
+  }
+  void Remove(const std::string& app, const std::string& id) {
+    const auto at = instances.find({app, id});
+    if (at == instances.end()) return;
+    changes.push_back({app, at->second + ",\"actionType\":\"DELETED\"}"});
+    instances.erase(at);
+  }
+
+  std::map<std::pair<std::string, std::string>, std::string> instances;
+  std::vector<std::pair<std::string, std::string>> changes;
+  std::vector<std::string> asked;
+  bool forgetful = false;  // answers the next renewal with 404
+
+ private:
+  void Asked(Exchange& e) {
+    const std::string path = e.path(), method = e.method();
+    asked.push_back(method + " " + path);
+    assert(path.starts_with("/eureka/apps"));
+    std::string rest = path.substr(12);
+    if (method == "GET") {
+      std::string apps;
+      const auto add = [&](const std::string& app, const std::string& text) {
+        apps += (apps.empty() ? "" : ",") + ("{\"name\":\"" + app + "\",\"instance\":[" + text + "]}");
+      };
+      if (rest == "/delta") {
+        for (const auto& [app, text] : changes) add(app, text);
+      } else {
+        for (const auto& [key, text] : instances) add(key.first, text + "}");
+      }
+      const std::string hash = instances.empty() ? "" : "UP_" + std::to_string(instances.size()) + "_";
+      e.Answer(200, "{\"applications\":{\"versions__delta\":\"1\",\"apps__hashcode\":\"" + hash +
+                        "\",\"application\":[" + apps + "]}}");
+      return;
+    }
+    rest.erase(0, 1);
+    const std::string app = rest.substr(0, rest.find('/'));
+    const std::string id = rest.find('/') == rest.npos ? "" : rest.substr(rest.find('/') + 1);
+    if (method == "POST") {
+      simdjson::dom::parser parser;
+      const std::string body = e.body();
+      const json::Value instance = json::Need(parser.parse(body).value(), "instance");
+      Put(app, json::Get<std::string>(instance, "instanceId"),
+          json::Get<std::uint16_t>(json::Need(instance, "port"), "$"));
+      e.Answer(204);
+    } else if (method == "PUT") {
+      e.Answer(std::exchange(forgetful, false) || !instances.contains({app, id}) ? 404 : 200);
+    } else {
+      Remove(app, id);
+      e.Answer(200);
+    }
+  }
+  Server server_;
+};
+
+// Planners and a forwarder on the world's loop; the world's endpoint serves destinations 0 to 9.
+struct Levels {
+  explicit Levels(int planners) {
+    registry = std::make_unique<StandInEureka>(w.loop);
+    for (int d = 0; d < 10; ++d) {
+      registry->Put("PARTNERS", "e" + std::to_string(d), w.ports[0],
+                    ",\"metadata\":{\"destination\":\"" + std::to_string(d) + "\",\"rate\":\"50\"}");
+    }
+    for (int i = 0; i < planners; ++i) StartPlanner(i);
+    StartForwarder(static_cast<std::size_t>(planners));
+  }
+  DeployFile Deploy(Role role) const {
+    DeployFile deploy;
+    deploy.role = role;
+    deploy.cloudevents = CloudEventsSettings{{"127.0.0.1", 0}, {}, "/"};
+    deploy.eureka = EurekaSettings{};
+    deploy.eureka->registry = {"127.0.0.1", registry->port()};
+    deploy.eureka->host = "127.0.0.1";
+    deploy.eureka->renew = deploy.eureka->fetch = 20ms;
+    return deploy;
+  }
+  void StartPlanner(int i) {
+    Config config = ParseConfig(w.ConfigText(), [](const char*) { return nullptr; });
+    config.name = "planner" + std::to_string(i);
+    config.known.endpoints.clear();
+    folders.push_back(std::make_unique<Folder>());
+    config.state_folder = folders.back()->path;
+    this->planners.push_back(std::make_unique<Dispatcher>(w.loop, config, Deploy(Role::kPlanner)));
+  }
+  void StartForwarder(std::size_t planners_up) {
+    forwarder = std::make_unique<Forwarder>(w.loop, site, Address{"127.0.0.1", 0}, Deploy(Role::kForwarder));
+    Until(w.loop, [&] { return forwarder->planners_up() == planners_up; });
+  }
+  Ask& Plain(const std::string& id, int destination) {
+    asks.push_back(std::make_unique<Ask>(w.loop, forwarder->port(), "/aviso",
+                                         Headers{{"X-Request-Id", id},
+                                                 {"X-Class", "aviso"},
+                                                 {"X-Deadline", "9000m"},
+                                                 {"X-Envelope", "dest=" + std::to_string(destination)}},
+                                         "x"));
+    return *asks.back();
+  }
+  Ask& Events(const Headers& headers, const std::string& body) {
+    asks.push_back(std::make_unique<Ask>(w.loop, forwarder->events_port(), "/", headers, body));
+    return *asks.back();
+  }
+
+  World w;
+  SiteSettings site = ParseConfig(w.ConfigText(), [](const char*) { return nullptr; }).site;
+  std::unique_ptr<StandInEureka> registry;
+  std::vector<std::unique_ptr<Folder>> folders;
+  std::vector<std::unique_ptr<Dispatcher>> planners;
+  std::unique_ptr<Forwarder> forwarder;
+  std::vector<std::unique_ptr<Ask>> asks;
+};
+
+std::string Member(const std::string& id, int destination) {
+  return R"({"specversion":"1.0","id":")" + id + R"(","source":"/s","type":"t","messageclass":"aviso",)" +
+         R"("destination":)" + std::to_string(destination) + "}";
+}
+const Headers kBatch = {{"Content-Type", "application/cloudevents-batch+json"}};
+
+void RegistryAnswersAreRead() {
+  const std::string one = R"({"instanceId":"i","ipAddr":"1.2.3.4","status":"UP","port":{"$":"80"}})";
+  const std::pair<std::string, int> table[] = {
+      {R"({"applications":{"application":[]}})", 0},
+      {R"({"applications":{"application":{"name":"a","instance":)" + one + "}}}", 1},
+      {R"({"applications":{"application":[{"name":"a","instance":[)" + one + "]}]}}", 1},
+      {R"({"applications":{"application":[{"name":"a","instance":[{"port":{"$":"x"}}]}]}})", -1},
+      {R"({"applications":{"application":[{"instance":[]}]}})", -1},
+      {"{}", -1},
+      {"<applications/>", -1}};
+  for (const auto& [text, count] : table) {
+    int read = -1;
+    try {
+      const Applications all = ReadApplications(text);
+      read = all.empty() ? 0 : static_cast<int>(all.at("A").size());
+    } catch (const std::exception&) {
+    }
+    assert(read == count);
+  }
+  Applications all;
+  assert(ApplyDelta(
+      R"({"applications":{"apps__hashcode":"UP_1_","application":{"name":"a","instance":)" + one + "}}}",
+      all));
+  assert(HashCode(all) == "UP_1_");
+  assert(!ApplyDelta(R"({"applications":{"apps__hashcode":"DOWN_1_UP_1_","application":[]}})", all));
+}
+
+void ADestinationKeepsItsPlanner() {
+  std::map<std::string, Instance> planners;
+  for (const char* id : {"a", "b", "c"}) planners[id] = Instance{.id = id, .status = "UP"};
+  std::map<int, std::string> before;
+  std::set<std::string> used;
+  for (int d = 0; d < 60; ++d) used.insert(before[d] = PickPlanner(planners, d)->id);
+  assert(used.size() == 3);
+  planners["b"].status = "DOWN";
+  for (int d = 0; d < 60; ++d) {
+    const std::string now = PickPlanner(planners, d)->id;
+    assert(now != "b" && (before[d] == "b" || now == before[d]));
+  }
+  planners["a"].status = planners["c"].status = "STARTING";
+  assert(PickPlanner(planners, 1) == nullptr);
+}
+
+void PartnersAreReadFromMetadata() {
+  const SiteSettings site;
+  std::map<std::string, Instance> partners;
+  partners["good"] = {
+      .host = "h", .status = "UP", .port = 1, .metadata = {{"destination", "3"}, {"rate", "2.5"}}};
+  partners["none"] = {.host = "h", .status = "UP"};
+  partners["down"] = {.host = "h", .status = "DOWN", .metadata = {{"destination", "4"}}};
+  std::vector<std::string> problems;
+  const ListNews news = PartnerList(partners, site, problems);
+  assert(news.whole && news.endpoints.size() == 2 && problems.size() == 1);
+  assert(news.endpoints[0].entry.state == EndpointEntry::State::kDraining);
+  assert(news.endpoints[1].entry.destination == 3 && news.endpoints[1].entry.rate == 2.5);
+}
+
+void MessagesReachPartnersThroughBothLevels() {
+  Levels l(2);
+  for (int d = 0; d < 10; ++d) assert(l.w.Code(l.Plain("p" + std::to_string(d), d)) == 202);
+  assert(l.w.Code(l.Events({{"Content-Type", "application/cloudevents+json"}}, Member("e", 3))) == 202);
+  assert(l.w.Code(l.Events(kBatch, "[" + Member("b1", 3) + "," + Member("b2", 3) + "]")) == 202);
+  Until(l.w.loop, [&] { return l.w.Calls() == 13; });
+  assert(l.w.CallsOf("/s|e") == 1 && l.w.CallsOf("/sagetally/plain|p0") == 1);
+  // The same again: known by its planner, and no second call.
+  assert(l.w.Code(l.Events({{"Content-Type", "application/cloudevents+json"}}, Member("e", 3))) == 202);
+  std::string all;
+  for (int d = 0; d < 10; ++d) all += (d == 0 ? "" : ",") + Member("x" + std::to_string(d), d);
+  assert(l.w.Code(l.Events(kBatch, "[" + all + "]")) == 400);  // several planners can't take it whole
+  assert(l.w.Code(l.Events(kBatch, "[" + Member("x", 1) + ",{}]")) == 400);
+  RunFor(l.w.loop, 30ms);
+  assert(l.w.Calls() == 13);
+}
+
+void APlannerThatStopsHandsOverAndTheRegistryMayBeLost() {
+  Levels l(2);
+  l.registry->forgetful = true;  // a renewal that is not known: the planner registers again
+  const auto posts = [&] {
+    return std::count_if(l.registry->asked.begin(), l.registry->asked.end(),
+                         [](const std::string& a) { return a.starts_with("POST"); });
+  };
+  Until(l.w.loop, [&] { return posts() == 3; });
+  l.planners[0]->Stop();
+  Until(l.w.loop, [&] { return l.forwarder->planners_up() == 1; });
+  for (int d = 0; d < 10; ++d) assert(l.w.Code(l.Plain("p" + std::to_string(d), d)) == 202);
+  l.registry.reset();
+  RunFor(l.w.loop, 60ms);
+  assert(l.forwarder->planners_up() == 1 && l.w.Code(l.Plain("late", 4)) == 202);
+  Until(l.w.loop, [&] { return l.w.Calls() == 11; });
+}
+
+void AnUnreachablePlannerIsASafeRefusalOnlyIfNothingWasWritten() {
+  Levels l(0);
+  assert(l.w.Code(l.Plain("a", 1)) == 503);  // no planner is up
+  std::vector<std::string> ids;
+  std::vector<std::shared_ptr<Exchange>> held;
+  auto planner = std::make_unique<Server>(l.w.loop, Address{"127.0.0.1", 0}, 1 << 20,
+                                          [&](const std::shared_ptr<Exchange>& e) {
+                                            ids.push_back(e->Header("ce-id"));
+                                            held.push_back(e);
+                                            if (ids.size() == 4) e->Answer(202);
+                                          });
+  l.registry->Put("SAGETALLY", "silent", planner->port());
+  Until(l.w.loop, [&] { return l.forwarder->planners_up() == 1; });
+  assert(l.w.Code(l.Plain("b", 1)) == 504);  // written: nobody knows, and nothing else may be tried
+  assert(ids.size() >= 2 && std::set<std::string>(ids.begin(), ids.end()) == std::set<std::string>{"b"});
+  while (ids.size() < 3) l.w.Code(l.Plain("b", 1));
+  ids.resize(3);
+  assert(l.w.Code(l.Plain("b", 1)) == 202);  // heard at last, under the same id
+  planner.reset();
+  held.clear();
+  assert(l.w.Code(l.Plain("c", 1)) == 503);  // refused connection: surely not written
+}
+
+}  // namespace
+}  // namespace sagetally
+
+int main() {
+  using namespace sagetally;
+  RegistryAnswersAreRead();
+  ADestinationKeepsItsPlanner();
+  PartnersAreReadFromMetadata();
+  MessagesReachPartnersThroughBothLevels();
+  APlannerThatStopsHandsOverAndTheRegistryMayBeLost();
+  AnUnreachablePlannerIsASafeRefusalOnlyIfNothingWasWritten();
+  std::puts("6 passed, 0 failed");
+}
