Take numeric addresses only, and let remembered ends give way to new messages

Seen in review: a host name in a list or registry answer would be looked up, which stops the loop; remembered events could fill the log's half so that new messages were refused for minutes. ParseAddress now takes IPv4 numbers only, partners and planners without are left out, and admit forgets the oldest remembered ends first.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -1,5 +1,7 @@
 #include "config/config.h"
 
+#include <arpa/inet.h>
+
 #include <algorithm>
 #include <charconv>
 #include <fstream>
@@ -34,7 +36,9 @@
     a.host = text.substr(0, colon);
     const char* end = text.data() + text.size();
     const auto [at, error] = std::from_chars(text.data() + colon + 1, end, a.port);
-    if (error == std::errc() && at == end) return a;
+    // Numbers only: looking up a name would stop the loop, and there is no DNS.
+    in_addr number{};
+    if (error == std::errc() && at == end && inet_pton(AF_INET, a.host.c_str(), &number) == 1) return a;
   }
   Malformed(std::string(what) + ": '" + std::string(text) + "' is no address");
 }
--- a/src/core/ledger.cpp
+++ b/src/core/ledger.cpp
@@ -64,12 +64,18 @@
 void Ledger::Age(Time now) {
   while (!remembered_.empty() &&
          (remembered_.front().first + kRemembered < now || remembered_.size() > kMostRemembered)) {
-    const std::uint64_t number = remembered_.front().second;
-    Message* m = Find(number);
-    if (m != nullptr && m->notice_owed) break;  // still to be told
-    remembered_.pop_front();
-    if (m != nullptr && !m->out) Remove(number);
+    if (!ForgetOldest()) return;
   }
 }
 
+bool Ledger::ForgetOldest() {
+  if (remembered_.empty()) return false;
+  const std::uint64_t number = remembered_.front().second;
+  const Message* m = Find(number);
+  if (m != nullptr && (m->notice_owed || m->out || !m->answered)) return false;  // still to be told
+  remembered_.pop_front();
+  if (m != nullptr) Remove(number);
+  return true;
+}
+
 }  // namespace sagetally
--- a/src/core/ledger.h
+++ b/src/core/ledger.h
@@ -30,6 +30,8 @@
   void Remove(std::uint64_t number);
   // Forgets ends remembered for long enough.
   void Age(Time now);
+  // Forgets the oldest remembered end; false if there is none that may go.
+  bool ForgetOldest();
 
  private:
   static std::string Identity(const Request& request);
--- a/src/registry/eureka.cpp
+++ b/src/registry/eureka.cpp
@@ -31,7 +31,7 @@
   if (Find(value, "port", port)) {
     Value number = port;
     if (port.is_object()) number = Need(port, "$");
-    i.port = number.is_string() ? ParseAddress("x:" + As<std::string>(number, "port"), "port").port
+    i.port = number.is_string() ? ParseAddress("0.0.0.0:" + As<std::string>(number, "port"), "port").port
                                 : As<std::uint16_t>(number, "port");
   }
   i.id = Get<std::string>(value, "instanceId", i.host + ":" + std::to_string(i.port));
--- a/src/registry/planners.cpp
+++ b/src/registry/planners.cpp
@@ -1,5 +1,7 @@
 #include "registry/planners.h"
 
+#include <arpa/inet.h>
+
 #include <algorithm>
 #include <charconv>
 
@@ -25,6 +27,12 @@
   return error == std::errc() && stop == end;
 }
 
+// By a numeric address: looking up a name would stop the loop.
+bool Reachable(const Instance& instance) {
+  in_addr number{};
+  return instance.port != 0 && inet_pton(AF_INET, instance.host.c_str(), &number) == 1;
+}
+
 int Position(const std::vector<std::string>& names, const Instance& instance, const char* name) {
   const auto named = instance.metadata.find(name);
   if (named == instance.metadata.end()) return 0;
@@ -38,7 +46,7 @@
   const Instance* best = nullptr;
   std::uint64_t highest = 0;
   for (const auto& [id, planner] : planners) {
-    if (!planner.up()) continue;
+    if (!planner.up() || !Reachable(planner)) continue;
     const std::uint64_t weight = Weight(id + "#" + std::to_string(destination));
     if (best != nullptr && weight <= highest) continue;
     best = &planner;
@@ -55,6 +63,10 @@
     EndpointNews n;
     n.entry.endpoint = id;
     n.address = partner.host + ":" + std::to_string(partner.port);
+    if (!Reachable(partner)) {
+      problems.push_back(id + ": '" + n.address + "' is no address in numbers");
+      continue;
+    }
     if (!ReadNumber(partner, "destination", n.entry.destination) || n.entry.destination < 0) {
       problems.push_back(id + ": metadata names no destination");
       continue;
--- a/src/stages/admit.cpp
+++ b/src/stages/admit.cpp
@@ -25,7 +25,10 @@
     taken.push_back(&added);
     waiting.numbers.push_back(added.number);
   }
-  if (!journal_.Taken(taken)) {
+  // What is owed goes before what is remembered for repeats' sake.
+  bool on_record = journal_.Taken(taken);
+  while (!on_record && ledger_.ForgetOldest()) on_record = journal_.Taken(taken);
+  if (!on_record) {
     for (const std::uint64_t number : waiting.numbers) ledger_.Remove(number);
     reply({Verdict::kRefused, Duration(0), "no room on disk"});
     return;
--- a/tests/node/parsers_test.cpp
+++ b/tests/node/parsers_test.cpp
@@ -33,6 +33,7 @@
   assert(ParseConfig(good, none).site.module.slots == 8);
   const std::tuple<const char*, const char*, const char*> table[] = {
       {"\"listen\":\"127.0.0.1:0\"", "\"listen\":\"nowhere\"", "listen"},
+      {"\"listen\":\"127.0.0.1:0\"", "\"listen\":\"a.test:80\"", "listen"},
       {"\"discovery\":", "\"other\":", "discovery"},
       {"\"seed\":\"1f\"", "\"seed\":\"xyz\"", "seed"},
       {"\"disk_mb\":3", "\"disk_mb\":\"much\"", "disk_mb"},
