Test the program as a process: bad configuration, SIGTERM, each role

Seen: nothing checked main.cpp itself. The new script starts the dispatcher, a planner and a forwarder, ends each with SIGTERM within 3.7 s and exit code 0, and reads the line that a bad configuration ends with.

--- /dev/null
+++ b/tests/node/process.sh
@@ -0,0 +1,46 @@
+#!/bin/sh
+# The program as a process: a bad configuration ends it with one line that names the key, SIGTERM ends it
+# cleanly before 3.7 s, and each role starts from deploy/node.json.
+set -eu
+program=$1
+scratch=$(mktemp -d)
+trap 'rm -rf "$scratch"' EXIT
+cd "$scratch"
+mkdir deploy state
+export BALANCER_CONFIG="$scratch/config.json" BALANCER_STATE="$scratch/state"
+config() {
+  cat >config.json <<JSON
+{"name":"n0","listen":"$1","discovery":"127.0.0.1:1","seed":"1","settings":{"flavors":["k"],
+ "grades":[{"name":"aviso","slo":2000,"deadline":9000,"idempotency":"pure"}],
+ "specifics":{"callsOut":2},"caps":{"mostHeld":9,"maxAttempts":3,"connIdle":15000}}}
+JSON
+}
+config nowhere
+if "$program" >out 2>err; then exit 1; fi
+grep -q "^sagetally: listen" err
+[ "$(wc -l <err)" = 1 ]
+
+starts() { # line that says it is ready
+  "$program" >out 2>err &
+  pid=$!
+  until grep -q "$1" out; do
+    kill -0 $pid || { cat err; exit 1; }
+    sleep 0.02
+  done
+  began=$(date +%s%N)
+  kill -TERM $pid
+  wait $pid
+  [ $((($(date +%s%N) - began) / 1000000)) -lt 3700 ]
+}
+config 127.0.0.1:0
+starts "^ready: n0"
+for role in planner forwarder; do
+  cat >deploy/node.json <<JSON
+{"role":"$role","cloudevents":{"listen":"127.0.0.1:0"},"eureka":{"registry":"127.0.0.1:1"}}
+JSON
+  starts "ready"
+done
+echo '{"role":"boss"}' >deploy/node.json
+if "$program" >out 2>err; then exit 1; fi
+grep -q "role" err
+echo "5 passed, 0 failed"
