--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -858,5 +858,44 @@
   EXPECT_EQ(node.All<Track>().size(), 1u);
 }
 
+// Guards what is owed from before a restart: the history binds as if this sender had made the attempts.
+TEST(History, EndsAtOnceWhatMayNotGoAgain) {
+  Node node;
+  node.List(30s, {At("a")});
+  MessageTaken unsafe = Node::Taken("u", kUnsafeClass);
+  unsafe.attempts = 1;
+  unsafe.may_have_run = 29s;
+  MessageTaken expired = Node::Taken("k", kKeyedClass);  // its window of 5 s is over
+  expired.attempts = 1;
+  expired.may_have_run = 24s;
+  MessageTaken worn = Node::Taken("w");
+  worn.attempts = 6;
+  node.Step(30s, {unsafe, expired, worn});
+  EXPECT_EQ(node.Ids<Fail>(), "u");
+  EXPECT_EQ(node.Ids<Refuse>(), "w k");
+  EXPECT_EQ(node.Ids<Send>(), "");
+}
+
+TEST(History, AKeyedMessageGoesAgainWithinItsWindow) {
+  Node node;
+  node.List(30s, {At("a")});
+  MessageTaken keyed = Node::Taken("k", kKeyedClass);
+  keyed.attempts = 2;
+  keyed.may_have_run = 28s;
+  node.Step(30s, {keyed});
+  EXPECT_EQ(node.Ids<Send>(), "k");
+}
+
+// Guards calls that the end of the process would cut off: an unsafe one would be lost.
+TEST(History, ACallThatWouldNotReturnBeforeTheHostEndsIsHeldBack) {
+  Node node;
+  node.List(0s, {At("a")});
+  node.Step(0s, {Stopping{1s}});
+  node.Take(100ms, "early", kUnsafeClass);
+  EXPECT_EQ(node.Ids<Send>(), "early");
+  node.Take(900ms, "late", kUnsafeClass);
+  EXPECT_EQ(node.Ids<Send>(), "");
+}
+
 }  // namespace
 }  // namespace sagetally
