Read endpoints' answers with limits, and believe no more of them than is theirs

A spoilt answer ended its call while the endpoint still held the connection, so the next attempt was a second copy; evhttp takes a 102 for the answer and a copy behind an answer for the next one. Ruled out: the system's socket buffers (smaller ones still gave 37 MB; taken out again). Wrong lines: net/endpoint_pool.cpp Done() (evhttp, no limits, reset reported at once), ReadLoad() (nought for what can't be read), Learn() (a call out over a move went idle on the old address).

--- a/src/core/ports.h
+++ b/src/core/ports.h
@@ -27,6 +27,7 @@
   virtual void Cancel(std::uint64_t number) = 0;
   virtual void CloseIdle(const std::string& endpoint) = 0;
   virtual void Learn(const EndpointNews& news) = 0;
+  virtual void Forget(const std::string& endpoint) = 0;  // no list names it any more
 };
 
 class Teller {  // tells ends; reports back to Book when one was heard
--- a/src/net/endpoint_pool.cpp
+++ b/src/net/endpoint_pool.cpp
@@ -1,58 +1,60 @@
 #include "net/endpoint_pool.h"
 
+#include <arpa/inet.h>
 #include <event2/buffer.h>
-#include <event2/http_struct.h>
+#include <event2/bufferevent.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include <algorithm>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
 #include <charconv>
 #include <cmath>
-#include <cstring>
+#include <optional>
 #include <utility>
 
-#include "net/written.h"
-
 namespace sagetally {
 namespace {
 
+namespace http = boost::beast::http;
+
 // After a call is given up, its connection's end must reach the endpoint before its slot or the message is
 // used again: else the next call counts as one too many, or as a second copy.
 constexpr Duration kCloseSettles = std::chrono::milliseconds(10);
 // Idle connections go this much before the endpoint's machine may close them.
 constexpr Duration kIdleMargin = std::chrono::milliseconds(1000);
+// An answer is whole so soon after its first byte, or spoilt.
+constexpr Duration kWholeAnswer = std::chrono::milliseconds(1000);
+constexpr std::size_t kMostHead = 16 * 1024, kMostBody = 64 * 1024;
+constexpr int kMostInterim = 16;  // 1xx answers in front of one
 
-double Number(const char* text) {
+std::optional<double> Number(std::string_view text) {
   double value = 0;
-  if (text != nullptr) std::from_chars(text, text + std::strlen(text), value);
-  return std::isfinite(value) ? value : 0.0;
+  const auto [at, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc() || at != text.data() + text.size() || !std::isfinite(value) || value < 0)
+    return {};
+  return value;
 }
 
-LoadReport ReadLoad(const char* text) {  // "x0=0.4,x1=25"
-  LoadReport load;
-  for (const char* at = text; at != nullptr && *at != 0;) {
-    if (std::strncmp(at, "x0=", 3) == 0) load.allowance_left = Number(at + 3);
-    if (std::strncmp(at, "x1=", 3) == 0) load.limit = Number(at + 3);
-    at = std::strchr(at, ',');
-    if (at != nullptr) at += std::strspn(at, ", ");
-  }
-  return load;
+std::string_view Find(const http::fields& fields, const char* name) {
+  const auto value = fields[name];
+  return {value.data(), value.size()};
 }
 
-CallResult ReadAnswer(evhttp_request* answer) {
-  evkeyvalq* headers = evhttp_request_get_input_headers(answer);
+CallResult ReadAnswer(const http::response<http::string_body>& answer) {
   CallResult r;
-  r.load = ReadLoad(evhttp_find_header(headers, "X-Load"));
-  const int code = evhttp_request_get_response_code(answer);
-  switch (code) {
-    case 429:
+  r.load = ReadLoad(Find(answer, "X-Load"));
+  switch (const unsigned code = answer.result_int()) {
+    case 429: {
+      const double wait = Number(Find(answer, "X-Retry-In-Ms")).value_or(0);
       r.outcome = Outcome::kFull;
-      r.told_wait = Duration(
-          std::llround(std::clamp(Number(evhttp_find_header(headers, "X-Retry-In-Ms")), 0.0, 1e9) * 1000));
-      break;
-    case 503: {
-      const char* no_slot = evhttp_find_header(headers, "X-No-Slot");
-      r.outcome = no_slot != nullptr && std::strcmp(no_slot, "1") == 0 ? Outcome::kMoot : Outcome::kFull;
+      r.told_wait = Duration(std::llround(std::min(wait, 1e9) * 1000));
       break;
     }
+    case 503:
+      r.outcome = Find(answer, "X-No-Slot") == "1" ? Outcome::kMoot : Outcome::kFull;
+      break;
     case 504:
       r.outcome = Outcome::kMoot;
       break;
@@ -68,6 +70,23 @@
 
 }  // namespace
 
+LoadReport ReadLoad(std::string_view text) {  // "x0=0.4,x1=25"
+  LoadReport load;
+  while (!text.empty()) {
+    const std::size_t end = std::min(text.find(','), text.size());
+    std::string_view part = text.substr(0, end);
+    text.remove_prefix(std::min(end + 1, text.size()));
+    while (part.starts_with(' ')) part.remove_prefix(1);
+    const std::size_t equals = part.find('=');
+    if (equals == part.npos) return {};
+    const auto value = Number(part.substr(equals + 1));
+    if (!value) return {};
+    if (part.starts_with("x0=")) load.allowance_left = *value;
+    if (part.starts_with("x1=")) load.limit = *value;
+  }
+  return load;
+}
+
 std::string DeadlineText(Duration d) {
   return std::to_string(std::max<std::int64_t>(1, std::chrono::floor<std::chrono::milliseconds>(d).count())) +
          "m";
@@ -78,100 +97,165 @@
   Connection(EndpointPool& pool, Endpoint& endpoint)
       : pool_(pool),
         endpoint_(endpoint),
-        connection_(evhttp_connection_base_new(pool.loop_.base(), nullptr, endpoint.address.host.c_str(),
-                                               endpoint.address.port)),
-        watch_(connection_.get(),
-               [this] {
-                 connected_ = true;
-                 connect_.Stop();
-               }),
-        connect_(pool.loop_, [this] { GiveUp(Outcome::kConnectFailed); }),
-        time_out_(pool.loop_,
-                  [this] { GiveUp(watch_.written() ? Outcome::kTimeout : Outcome::kConnectFailed); }),
+        address_(endpoint.text),
+        buffers_(bufferevent_socket_new(pool.loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE)),
+        connect_(pool.loop_, [this] { End(Outcome::kConnectFailed); }),
+        time_out_(pool.loop_, [this] { End(Written() ? Outcome::kTimeout : Outcome::kConnectFailed); }),
+        answer_(pool.loop_, [this] { Spoilt(); }),
         idle_(pool.loop_, [this] { pool_.Drop(*this); }) {
-    evhttp_connection_set_retries(connection_.get(), 0);
-    evhttp_connection_set_timeout(connection_.get(), 24 * 3600);  // the timers here decide
-    evhttp_connection_set_closecb(connection_.get(), Closed, this);
+    bufferevent_setcb(buffers_.get(), Readable, nullptr, Happened, this);
+    bufferevent_setwatermark(buffers_.get(), EV_READ, 0, 2 * kMostHead);
+    bufferevent_enable(buffers_.get(), EV_READ | EV_WRITE);
+    sockaddr_in to{};
+    to.sin_family = AF_INET;
+    to.sin_port = htons(endpoint.address.port);
+    inet_pton(AF_INET, endpoint.address.host.c_str(), &to.sin_addr);
+    connect_.After(pool_.limits_.connect_timeout);
+    if (bufferevent_socket_connect(buffers_.get(), reinterpret_cast<sockaddr*>(&to), sizeof to) != 0) {
+      connect_.After(Duration(0));
+    }
   }
-  ~Connection() { evhttp_connection_set_closecb(connection_.get(), nullptr, nullptr); }
+  Connection(const Connection&) = delete;
+  Connection& operator=(const Connection&) = delete;
 
   Endpoint& endpoint() { return endpoint_; }
   std::uint64_t number() const { return number_; }
-  bool dead() const { return dead_; }
-  void set_dead() { dead_ = true; }
+  // Whether it may be used again: still where the endpoint is, and nothing came that no call asked for.
+  bool sound() const {
+    char byte = 0;
+    return address_ == endpoint_.text && !endpoint_.gone && evbuffer_get_length(Input()) == 0 &&
+           ::recv(bufferevent_getfd(buffers_.get()), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0;
+  }
+  std::chrono::steady_clock::time_point rested() const { return rested_; }
 
   void Call(const CallOrder& order) {
     number_ = order.number;
     busy_ = true;
-    watch_.Start();
+    says_ok_ = false;
+    interim_ = 0;
     idle_.Stop();
-    evhttp_request* request = evhttp_request_new(Done, this);
-    evkeyvalq* headers = evhttp_request_get_output_headers(request);
-    evhttp_add_header(headers, "Host", endpoint_.text.c_str());
     const Request& r = *order.request;
-    evhttp_add_header(headers, "X-Request-Id", r.id.c_str());
-    if (!r.key.empty()) evhttp_add_header(headers, "Idempotency-Key", r.key.c_str());
-    evhttp_add_header(headers, "X-Deadline", DeadlineText(order.time_out).c_str());
-    for (const auto& [name, value] : r.attributes) evhttp_add_header(headers, name.c_str(), value.c_str());
-    evhttp_add_header(headers, "Content-Length", std::to_string(r.body.size()).c_str());
-    evbuffer_add(evhttp_request_get_output_buffer(request), r.body.data(), r.body.size());
-    if (!connected_) connect_.After(pool_.limits_.connect_timeout);
+    std::string text = "POST /hook HTTP/1.1\r\nHost: " + address_ + "\r\nX-Request-Id: " + r.id + "\r\n";
+    if (!r.key.empty()) text += "Idempotency-Key: " + r.key + "\r\n";
+    text += "X-Deadline: " + DeadlineText(order.time_out) + "\r\n";
+    for (const auto& [name, value] : r.attributes) text += name + ": " + value + "\r\n";
+    text += "Content-Length: " + std::to_string(r.body.size()) + "\r\n\r\n" + r.body;
+    bufferevent_write(buffers_.get(), text.data(), text.size());
     time_out_.After(order.time_out);
-    evhttp_make_request(connection_.get(), request, EVHTTP_REQ_POST, "/hook");
   }
 
-  std::chrono::steady_clock::time_point rested() const { return rested_; }
   void Rest() {  // idle from now on
-    busy_ = false;
     rested_ = std::chrono::steady_clock::now();
-    time_out_.Stop();
-    connect_.Stop();
     idle_.After(std::max<Duration>(pool_.limits_.idle - kIdleMargin, pool_.limits_.idle / 2));
   }
-  void GiveUp(Outcome outcome) {
+  void End(Outcome outcome) {  // without a whole answer
     CallResult result;
-    result.number = number_;
-    result.outcome = outcome;
-    Stop();
-    pool_.Finish(*this, result, false);
+    // A first line with 200 is true, whatever became of the rest.
+    result.outcome = says_ok_ ? Outcome::kOk : outcome;
+    Over(result, false, true);
   }
-  void Stop() {
+  void Leave() {
     busy_ = false;
+    buffers_.reset();
+    for (Timer* timer : {&connect_, &time_out_, &answer_, &idle_}) timer->Stop();
+  }
+
+ private:
+  using Parser = http::response_parser<http::string_body>;
+
+  evbuffer* Input() const { return bufferevent_get_input(buffers_.get()); }
+  bool Written() const {
+    return connected_ && evbuffer_get_length(bufferevent_get_output(buffers_.get())) == 0;
+  }
+
+  void Over(CallResult result, bool reusable, bool settle) {
+    busy_ = false;
+    parser_.reset();
     time_out_.Stop();
+    answer_.Stop();
     connect_.Stop();
-    idle_.Stop();
+    result.number = number_;
+    pool_.Finish(*this, result, reusable, settle);
   }
+  // An answer that can't be read: the call has run. The connection is of no further use.
+  void Spoilt() { End(Outcome::kError); }
 
- private:
-  static void Closed(evhttp_connection*, void* self) {
-    auto* c = static_cast<Connection*>(self);
-    if (!c->busy_ && !c->dead_) c->pool_.Drop(*c);
+  void Read() {
+    if (!busy_) return pool_.Drop(*this);  // what comes unasked is nobody's answer
+    while (evbuffer_get_length(Input()) > 0) {
+      if (!answer_.pending()) answer_.After(kWholeAnswer);
+      if (!parser_) {
+        char first[13] = {};  // "HTTP/1.1 200 "
+        if (evbuffer_copyout(Input(), first, sizeof first) < static_cast<ev_ssize_t>(sizeof first)) {
+          if (std::string_view("HTTP/1.").substr(0, evbuffer_get_length(Input())) !=
+              std::string_view(first).substr(0, 7)) {
+            return Spoilt();
+          }
+          return;
+        }
+        const std::string_view line(first, sizeof first);
+        says_ok_ = line.starts_with("HTTP/1.") && line.substr(8, 4) == " 200" && line[12] <= ' ';
+        parser_.emplace();
+        parser_->header_limit(kMostHead);
+        parser_->body_limit(kMostBody);
+      }
+      const std::size_t size = evbuffer_get_length(Input());
+      boost::system::error_code error;
+      const std::size_t used =
+          parser_->put(boost::asio::const_buffer(evbuffer_pullup(Input(), -1), size), error);
+      if (error && error != http::error::need_more) return Spoilt();
+      evbuffer_drain(Input(), used);
+      if (parser_->is_header_done() && !parser_->eager()) {
+        // Guards the memory: the parser makes room for all that an answer claims before it looks at its
+        // limit.
+        if (parser_->content_length().value_or(0) > kMostBody) return Spoilt();
+        parser_->eager(true);
+      }
+      if (parser_->is_done()) {
+        if (parser_->get().result_int() >= 200) return Answered();
+        parser_.reset();  // a 1xx: the answer is still to come
+        answer_.Stop();
+        if (++interim_ > kMostInterim) return Spoilt();
+      } else if (used == 0) {
+        if (size >= 2 * kMostHead) return Spoilt();  // a line without end
+        return;
+      }
+    }
+  }
+  void Answered() {
+    const CallResult result = ReadAnswer(parser_->get());
+    Over(result, parser_->keep_alive(), false);
   }
 
-  static void Done(evhttp_request* answer, void* self) {
+  static void Readable(bufferevent*, void* self) { static_cast<Connection*>(self)->Read(); }
+  static void Happened(bufferevent*, short what, void* self) {
     auto* c = static_cast<Connection*>(self);
-    if (!c->busy_) return;
-    CallResult result;
-    bool reusable = false;
-    if (answer == nullptr || evhttp_request_get_response_code(answer) == 0) {
-      result.outcome = c->watch_.written() ? Outcome::kReset : Outcome::kConnectFailed;
-    } else {
-      result = ReadAnswer(answer);
-      const char* keep = evhttp_find_header(evhttp_request_get_input_headers(answer), "Connection");
-      reusable = keep == nullptr || evutil_ascii_strcasecmp(keep, "close") != 0;
+    if ((what & BEV_EVENT_CONNECTED) != 0) {
+      c->connected_ = true;
+      c->connect_.Stop();
+      const int on = 1;
+      ::setsockopt(bufferevent_getfd(c->buffers_.get()), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+      return;
     }
-    result.number = c->number_;
-    c->Stop();
-    c->pool_.Finish(*c, result, reusable);
+    if (!c->busy_) return c->pool_.Drop(*c);
+    if (c->parser_ && (what & BEV_EVENT_EOF) != 0) {  // the end may be what closes the answer's body
+      boost::system::error_code error;
+      c->parser_->put_eof(error);
+      if (!error && c->parser_->is_done() && c->parser_->get().result_int() >= 200) return c->Answered();
+    }
+    c->End(c->Written() ? Outcome::kReset : Outcome::kConnectFailed);
   }
 
   EndpointPool& pool_;
   Endpoint& endpoint_;
-  ConnectionPtr connection_;
-  WrittenWatch watch_;
-  Timer connect_, time_out_, idle_;
+  const std::string address_;
+  std::unique_ptr<bufferevent, Free<bufferevent_free>> buffers_;
+  Timer connect_, time_out_, answer_, idle_;
+  std::optional<Parser> parser_;
   std::uint64_t number_ = 0;
-  bool busy_ = false, connected_ = false, dead_ = false;
+  bool busy_ = false, connected_ = false;
+  bool says_ok_ = false;  // the first line of the answer that is coming
+  int interim_ = 0;
   std::chrono::steady_clock::time_point rested_;
 };
 
@@ -186,12 +270,21 @@
 
 void EndpointPool::Learn(const EndpointNews& news) {
   Endpoint& endpoint = endpoints_[news.entry.endpoint];
+  endpoint.gone = false;
   if (endpoint.text == news.address) return;
-  CloseIdle(news.entry.endpoint);  // it has moved
+  CloseIdle(news.entry.endpoint);  // it has moved; calls that are out go on where they are
   endpoint.text = news.address;
   endpoint.address = ParseAddress(news.address, "endpoint");
 }
 
+void EndpointPool::Forget(const std::string& endpoint) {
+  const auto at = endpoints_.find(endpoint);
+  if (at == endpoints_.end()) return;
+  CloseIdle(endpoint);
+  at->second.gone = true;
+  if (at->second.open == 0) endpoints_.erase(at);
+}
+
 EndpointPool::Connection* EndpointPool::Open(Endpoint& endpoint) {
   auto connection = std::make_unique<Connection>(*this, endpoint);
   endpoint.open += 1;
@@ -207,19 +300,28 @@
   never.outcome = Outcome::kConnectFailed;
   if (at == endpoints_.end() || calls_.contains(order.number)) return Report(never, false);
   Endpoint& endpoint = at->second;
-  Connection* connection = nullptr;
-  if (!endpoint.idle.empty()) {
-    connection = endpoint.idle.back();
-    endpoint.idle.pop_back();
-  } else if (endpoint.open >= limits_.most_connections || !MakeRoom()) {
-    return Report(never, false);
-  } else {
+  Connection* connection = TakeIdle(endpoint);
+  if (connection == nullptr) {
+    if (endpoint.open >= limits_.most_connections || !MakeRoom()) return Report(never, false);
     connection = Open(endpoint);
   }
   calls_[order.number] = connection;
   connection->Call(order);
 }
 
+// The youngest idle connection that is still sound.
+EndpointPool::Connection* EndpointPool::TakeIdle(Endpoint& endpoint) {
+  while (!endpoint.idle.empty()) {
+    Connection* connection = endpoint.idle.back();
+    if (connection->sound()) {
+      endpoint.idle.pop_back();
+      return connection;
+    }
+    Drop(*connection);
+  }
+  return nullptr;
+}
+
 // Guards the descriptors: the connection that is idle for longest, anywhere, gives way to a new one.
 bool EndpointPool::MakeRoom() {
   if (connections_.size() < limits_.most_in_all) return true;
@@ -235,7 +337,7 @@
 
 void EndpointPool::Cancel(std::uint64_t number) {
   const auto at = calls_.find(number);
-  if (at != calls_.end()) at->second->GiveUp(Outcome::kCancelled);
+  if (at != calls_.end()) at->second->End(Outcome::kCancelled);
 }
 
 void EndpointPool::CloseIdle(const std::string& endpoint) {
@@ -245,17 +347,15 @@
   for (Connection* connection : idle) Drop(*connection);
 }
 
-void EndpointPool::Finish(Connection& connection, CallResult result, bool reusable) {
+void EndpointPool::Finish(Connection& connection, CallResult result, bool reusable, bool settle) {
   calls_.erase(connection.number());
-  const bool given_up = result.outcome == Outcome::kTimeout || result.outcome == Outcome::kCancelled ||
-                        result.outcome == Outcome::kConnectFailed;
-  if (reusable && !connection.dead()) {
+  if (reusable && connection.sound()) {
     connection.Rest();
     connection.endpoint().idle.push_back(&connection);
   } else {
     Drop(connection);
   }
-  Report(result, given_up);
+  Report(result, settle);
 }
 
 // By a timer even when there is nothing to wait for: the caller may still be at work.
@@ -286,14 +386,16 @@
 void EndpointPool::Drop(Connection& connection) {
   const auto at = connections_.find(&connection);
   if (at == connections_.end()) return;
-  connection.set_dead();
-  connection.Stop();
+  connection.Leave();
   Endpoint& endpoint = connection.endpoint();
   std::erase(endpoint.idle, &connection);
   endpoint.open -= 1;
   dropped_.push_back(std::move(at->second));
   connections_.erase(at);
   sweep_.After(Duration(0));
+  if (endpoint.gone && endpoint.open == 0) {
+    std::erase_if(endpoints_, [&](const auto& e) { return &e.second == &endpoint; });
+  }
 }
 
 }  // namespace sagetally
--- a/src/net/endpoint_pool.h
+++ b/src/net/endpoint_pool.h
@@ -1,4 +1,6 @@
-// Calls to endpoints over kept connections: one call at a time on each, none sent twice by the library.
+// Calls to endpoints over kept connections: one call at a time on each, none sent twice. evhttp 2.1 can't
+// serve here: it tells nothing of an answer whose first line says 200 and whose rest is spoilt, takes any 1xx
+// but 100 for the answer, and reads what stands behind one answer as the next.
 #ifndef SAGETALLY_SRC_NET_ENDPOINT_POOL_H_
 #define SAGETALLY_SRC_NET_ENDPOINT_POOL_H_
 
@@ -7,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "config/config.h"
@@ -30,6 +33,8 @@
   void Cancel(std::uint64_t number) override;
   void CloseIdle(const std::string& endpoint) override;
   void Learn(const EndpointNews& news) override;
+  void Forget(const std::string& endpoint) override;
+  std::size_t endpoints() const { return endpoints_.size(); }
 
  private:
   class Connection;
@@ -38,11 +43,14 @@
     Address address;
     std::vector<Connection*> idle;  // the longest idle first
     int open = 0;
+    bool gone = false;  // no list names it any more
   };
 
   Connection* Open(Endpoint& endpoint);
   bool MakeRoom();
-  void Finish(Connection& connection, CallResult result, bool reusable);
+  Connection* TakeIdle(Endpoint& endpoint);
+  // `settle`: the endpoint may not know yet that the call is over.
+  void Finish(Connection& connection, CallResult result, bool reusable, bool settle);
   void Report(CallResult result, bool settle);
   void ReportNow();
   void ReportLater();
@@ -60,6 +68,8 @@
   Timer report_now_, report_later_, sweep_;
 };
 
+// What an X-Load header tells; nothing of it if any part can't be read.
+LoadReport ReadLoad(std::string_view text);
 // The duration that X-Deadline holds.
 std::string DeadlineText(Duration d);
 
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -30,7 +30,7 @@
 constexpr std::size_t kMostUnwritten = 64 * 1024;  // answers that a client doesn't read
 // After an error the rest of what the client sends is read away for a moment, so that it hears the answer.
 constexpr Duration kLinger = milliseconds(200);
-constexpr std::size_t kMostLinger = 256 * 1024;
+constexpr std::size_t kMostLinger = 128 * 1024;
 constexpr Duration kListenAgain = milliseconds(50);
 
 const char* Reason(int code) {
--- a/src/stages/route.cpp
+++ b/src/stages/route.cpp
@@ -17,12 +17,23 @@
   ListChanged e;
   e.kind = news.whole ? ListChanged::Kind::kWhole : ListChanged::Kind::kChanges;
   e.saved = news.saved;
+  std::set<std::string> gone;
+  if (news.whole) gone = std::exchange(endpoints_, {});
   for (const EndpointNews& endpoint : news.endpoints) {
-    caller_.Learn(endpoint);
+    const std::string& name = endpoint.entry.endpoint;
+    gone.erase(name);
+    if (endpoint.entry.state == EndpointEntry::State::kRemoved) {
+      endpoints_.erase(name);
+      gone.insert(name);
+    } else {
+      endpoints_.insert(name);
+      caller_.Learn(endpoint);
+    }
     destinations_.insert(endpoint.entry.destination);
     e.entries.push_back(endpoint.entry);
   }
   Add(std::move(e));
+  for (const std::string& name : gone) caller_.Forget(name);
 }
 
 void Route::Taken(const Message& m) {
--- a/src/stages/route.h
+++ b/src/stages/route.h
@@ -57,6 +57,7 @@
   const Clock& clock_;
   std::vector<Event> events_;
   std::set<int> destinations_;
+  std::set<std::string> endpoints_;  // that the list names
 };
 
 // The module's name for a message.
--- a/tests/node/parsers_test.cpp
+++ b/tests/node/parsers_test.cpp
@@ -26,6 +26,18 @@
   }
 }
 
+// Guards against a report that can't be read passing for a limit of nought.
+void LoadReports() {
+  const std::tuple<const char*, double, double> table[] = {
+      {"x0=0.4,x1=25", 0.4, 25}, {"x1=25, x0=0.4", 0.4, 25}, {"x1=7", 0, 7},    {"", 0, 0},
+      {"x0=0.4,x1=", 0, 0},      {"x0=0.4,x1=-3", 0, 0},     {"x1=nan", 0, 0},  {"x1=25x", 0, 0},
+      {"x1=1e999", 0, 0},        {"\xff\xfe", 0, 0},         {"x1=25,,", 0, 0}, {"cpu=0.5,x1=3", 0, 3}};
+  for (const auto& [text, left, limit] : table) {
+    const LoadReport load = ReadLoad(text);
+    assert(load.allowance_left == left && load.limit == limit);
+  }
+}
+
 void ConfigurationsNameTheKeyAtFault() {
   const World w;
   const std::string good = w.ConfigText();
@@ -158,6 +170,7 @@
   using namespace sagetally;
   Deadlines();
   Destinations();
+  LoadReports();
   ConfigurationsNameTheKeyAtFault();
   DeployFilesNameTheKeyAtFault();
   ATornLastRecordIsCutOff();
