Read the configuration again on SIGHUP and follow discovery to its new address

Wrong lines: main.cpp Serve(); net/watch.cpp and net/notices.cpp hold their address const; config.cpp lets the environment go before the file, which is stale once the file is replaced.

--- a/src/app/dispatcher.cpp
+++ b/src/app/dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "app/dispatcher.h"
 
 #include <cstdio>
+#include <stdexcept>
 
 #include "registry/planners.h"
 
@@ -130,6 +131,21 @@
   end_.After(kLongestStop);
 }
 
+void Dispatcher::Reload(const Config& config) {
+  if (stopping_) return;
+  if (config.peer_listen != config_.peer_listen) {
+    throw std::runtime_error("peer_listen can't change while the process runs");
+  }
+  const bool moved =
+      config.discovery.host != config_.discovery.host || config.discovery.port != config_.discovery.port;
+  config_.peers = config.peers;
+  config_.peers_all = config.peers_all;
+  config_.discovery = config.discovery;
+  if (moved && watch_) watch_->Move(config_.discovery);
+  if (moved) notices_.Move(config_.discovery);
+  Log("reload: discovery at " + config_.discovery.host + ":" + std::to_string(config_.discovery.port));
+}
+
 void Dispatcher::EndIfDone() {
   const bool told = notices_.idle() && (!results_ || results_->idle());
   if (!close_.pending() && ledger_.held() == 0 && told) end_.After(milliseconds(20));
--- a/src/app/dispatcher.h
+++ b/src/app/dispatcher.h
@@ -28,6 +28,8 @@
   ~Dispatcher() override;
 
   void Stop();  // as SIGTERM asks for it; breaks the loop once done
+  // As SIGHUP asks for it: takes over what may change under way, all of it or, by throwing, nothing.
+  void Reload(const Config& config);
   std::uint16_t port() const { return server_ ? server_->port() : 0; }
   std::uint16_t events_port() const { return events_ ? events_->port() : 0; }
 
@@ -43,7 +45,7 @@
   void FollowRegistry(const EurekaSettings& settings, Role role);
 
   Loop& loop_;
-  const Config config_;
+  Config config_;
   SystemClock clock_;
   Timer step_, wake_, close_, end_;
   Ledger ledger_;
--- a/src/app/forwarder.h
+++ b/src/app/forwarder.h
@@ -24,7 +24,8 @@
   Forwarder(Loop& loop, const Config& config, const DeployFile& deploy);
   ~Forwarder();
 
-  void Stop();  // takes nothing new, lets what is out end, then breaks the loop
+  void Reload(const Config&) {}  // nothing here may change under way
+  void Stop();                   // takes nothing new, lets what is out end, then breaks the loop
   std::uint16_t port() const { return plain_->port(); }
   std::uint16_t events_port() const { return events_->port(); }
   // How many planners are UP in the last list.
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -78,7 +78,8 @@
   }
   const auto told = [&](const char* variable, const char* key) {
     const char* value = environment(variable);
-    return value != nullptr && *value != 0 ? std::string(value) : Get<std::string>(root, key, "");
+    const std::string here = Get<std::string>(root, key, "");
+    return value == nullptr || *value == 0 || (needs.again && !here.empty()) ? here : std::string(value);
   };
   Config c;
   c.name = told("BALANCER_NAME", "name");
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -40,11 +40,12 @@
 };
 Shares Share(const Config& config, bool events_on, bool plain_on = true);
 
-// Reads the file named by BALANCER_CONFIG; the other BALANCER_ variables go before what it says.
-// Throws std::runtime_error naming the key at fault.
+// Reads the file named by BALANCER_CONFIG; the other BALANCER_ variables go before what it says, but not when
+// it is read again: then it is newer than they are. Throws std::runtime_error naming the key at fault.
 // What a process of its role needs of the platform. Off it a planner has no discovery, a forwarder no state.
 struct Needs {
   bool discovery = true, state = true;
+  bool again = false;
 };
 Config ReadConfig(const std::function<const char*(const char*)>& environment, Needs needs = Needs());
 Config ParseConfig(const std::string& text, const std::function<const char*(const char*)>& environment,
--- a/src/net/notices.cpp
+++ b/src/net/notices.cpp
@@ -46,6 +46,14 @@
   if (out_.empty() && !post_.pending()) post_.After(Duration(0));
 }
 
+void Notices::Move(const Address& to) {
+  to_ = to;
+  connection_.reset();
+  unheard_.Stop();
+  out_.clear();
+  post_.After(Duration(0));
+}
+
 void Notices::Post() {
   if (waiting_.empty()) return;
   if (!connection_) {
--- a/src/net/notices.h
+++ b/src/net/notices.h
@@ -31,6 +31,8 @@
   void Tell(const Message& message) override;
   void Forget(std::uint64_t number) { waiting_.erase(number); }
   bool idle() const { return waiting_.empty(); }
+  // What was not heard yet is told at another address.
+  void Move(const Address& to);
 
  private:
   void Post();
@@ -38,7 +40,7 @@
   static void Done(evhttp_request* request, void* self);
 
   Loop& loop_;
-  const Address to_;
+  Address to_;
   const Form form_;
   std::function<void(std::uint64_t)> heard_;
   std::function<void(const std::string&)> log_;
--- a/src/net/watch.cpp
+++ b/src/net/watch.cpp
@@ -7,7 +7,8 @@
 namespace sagetally {
 namespace {
 
-constexpr Duration kSilent = std::chrono::milliseconds(4500);  // a line comes every 2 s
+constexpr Duration kSilent = std::chrono::milliseconds(4500);   // a line comes every 2 s
+constexpr Duration kUnheard = std::chrono::milliseconds(1500);  // the agent answers at once
 constexpr Duration kAgain = std::chrono::milliseconds(200);
 constexpr std::size_t kLongestLine = 4 * 1024 * 1024;
 
@@ -36,11 +37,17 @@
   evhttp_request* request = evhttp_request_new(Done, this);
   evhttp_request_set_chunked_cb(request, Chunk);
   evhttp_add_header(evhttp_request_get_output_headers(request), "Host", discovery_.host.c_str());
-  silent_.After(kSilent);
+  silent_.After(kUnheard);
   const std::string target = "/v1/servers?watch=1&after=" + std::to_string(revision_);
   evhttp_make_request(connection_.get(), request, EVHTTP_REQ_GET, target.c_str());
 }
 
+void Watch::Move(const Address& discovery) {
+  discovery_ = discovery;
+  again_.Stop();
+  Ask();
+}
+
 void Watch::Lost(const char* how) {
   log_(std::string("discovery: watch lost (") + how + "), asking again after " + std::to_string(revision_));
   silent_.Stop();
--- a/src/net/watch.h
+++ b/src/net/watch.h
@@ -18,6 +18,8 @@
   ~Watch();
 
   std::int64_t revision() const { return revision_; }
+  // Goes on at another address, after the version heard last.
+  void Move(const Address& discovery);
 
  private:
   void Ask();
@@ -27,7 +29,7 @@
   static void Done(evhttp_request* request, void* self);
 
   Loop& loop_;
-  const Address discovery_;
+  Address discovery_;
   const SiteSettings& site_;
   std::int64_t revision_;
   std::function<void(const ListNews&)> news_;
--- a/tests/node/process.sh
+++ b/tests/node/process.sh
@@ -34,6 +34,24 @@
 }
 config 127.0.0.1:0
 starts "^ready: n0"
+# SIGHUP: a file that can't be used is one line, a good one is taken over, and the process goes on. The file
+# goes before the variables then.
+hears() {
+  kill -HUP $pid
+  until grep -q "$1" out; do
+    kill -0 $pid
+    sleep 0.02
+  done
+}
+BALANCER_DISCOVERY=127.0.0.1:2 "$program" >out 2>err &
+pid=$!
+until grep -q "^ready" out; do sleep 0.02; done
+config nowhere
+hears "^reload: listen.*the old configuration stays"
+config 127.0.0.1:0
+hears "^reload: discovery at 127.0.0.1:1"
+kill -TERM $pid
+wait $pid
 for role in planner forwarder; do
   cat >deploy/node.json <<JSON
 {"role":"$role","cloudevents":{"listen":"127.0.0.1:0"},"eureka":{"registry":"127.0.0.1:1"}}
@@ -43,4 +61,4 @@
 echo '{"role":"boss"}' >deploy/node.json
 if "$program" >out 2>err; then exit 1; fi
 grep -q "role" err
-echo "5 passed, 0 failed"
+echo "7 passed, 0 failed"
--- a/tests/node/rules_test.cpp
+++ b/tests/node/rules_test.cpp
@@ -179,6 +179,37 @@
   assert(w.CallsOf("a2") == 0 && w.agent.notices.empty());
 }
 
+// What uses discovery goes on at the new address after the version heard; calls and held messages go on.
+void ANewConfigurationMovesWatchAndNotices() {
+  World w(1, 1);
+  StandInAgent other(w.loop);
+  w.endpoints[0]->otherwise = 0;
+  w.Start();
+  Until(w.loop, [&] { return w.agent.watch != nullptr; });
+  w.agent.Say("{\"rev\":42,\"all\":false,\"targets\":[]}");
+  assert(w.Code(w.Post("pagamento", "out")) == 202 && w.Code(w.Post("aviso", "held")) == 202);
+  Until(w.loop, [&] { return w.Calls() == 1; });
+  Config next = ParseConfig(w.ConfigText(), [](const char*) { return nullptr; });
+  next.peer_listen = "127.0.0.1:1";
+  bool refused = false;
+  try {
+    w.dispatcher->Reload(next);
+  } catch (const std::exception&) {
+    refused = true;
+  }
+  assert(refused);  // and nothing of it was taken over
+  next.peer_listen = "";
+  next.discovery.port = other.port;
+  w.dispatcher->Reload(next);
+  Until(w.loop, [&] { return other.watch != nullptr; });
+  assert(w.agent.asked.size() == 1 && other.asked[0].ends_with("after=42"));
+  w.endpoints[0]->script = {500};
+  for (const auto& e : std::exchange(w.endpoints[0]->held, {})) e->Answer(500);
+  Until(w.loop, [&] { return other.Told(R"({"id":"out","status":"undeliverable"})"); });
+  Until(w.loop, [&] { return w.CallsOf("held") > 0; });
+  assert(w.agent.notices.empty() && w.CallsOf("out") == 1);
+}
+
 // Guards against a client that closes before it is answered: the copy is withdrawn, nothing is left owed.
 void AClientThatWentIsNotOwed() {
   World w;
@@ -211,5 +242,6 @@
   WhatWasOwedIsEndedAfterAKill();
   StopsTakingAndFinishesOnSigterm();
   AClientThatWentIsNotOwed();
-  std::puts("13 passed, 0 failed");
+  ANewConfigurationMovesWatchAndNotices();
+  std::puts("14 passed, 0 failed");
 }
