Take a reset for weak evidence of an outage, as an error answer is

Checked: a trace of each call by the age of its connection: 134 of 2,800 calls on new connections and 3 to 5 of 100 on young kept ones end as resets, most at once. Ruled out: time-outs (23 in all) and refusals. Wrong lines: brain/decide.cpp Learn(): a reset moved doubt by kDoubtHard and counted as a failure in a row, so two of them opened the breaker and held the destination to the fail-back budget for 11 s.

--- a/src/brain/decide.cpp
+++ b/src/brain/decide.cpp
@@ -43,7 +43,7 @@
 constexpr double kBurstSeconds = 0.3;  // tokens a bucket holds, in seconds of its rate
 // Health: `doubt` moves to 1 by these on a failure and to 0 on a success.
 constexpr double kDoubtHard = 0.5;    // no answer or no connection
-constexpr double kDoubtError = 0.25;  // an error answer: single ones are everyday
+constexpr double kDoubtError = 0.25;  // an error answer, a reset: single ones are everyday
 constexpr double kTrust = 0.3;        // three or four successes make a suspect well again
 constexpr double kSuspect = 0.3;      // above: no unsafe messages, short rein
 // Above: an outage. Two hard failures in a row, but not two with a success between: those are everyday.
@@ -869,12 +869,15 @@
       }
       return;
     }
-    p.failures += outcome == Outcome::kError ? 0 : 1;
+    // Guards against outages seen where connections break at random: what has really gone refuses the next
+    // connection, or says nothing, which counts in full.
+    const bool weak = outcome == Outcome::kError || outcome == Outcome::kReset;
+    p.failures += weak ? 0 : 1;
     p.may_run = outcome != Outcome::kConnectFailed;
     // A connection that fails may have met a full table: one more call soon tells. One for all endpoints:
     // senders that each tried every endpoint thrice pushed one over that had just come back.
     const bool confirm = !p.may_run && !p.outage && ++lane.unconnected == 1;
-    MoveDoubt(p, 1, outcome == Outcome::kError || at_deadline || confirm ? kDoubtError : kDoubtHard);
+    MoveDoubt(p, 1, weak || at_deadline || confirm ? kDoubtError : kDoubtHard);
     if (confirm || p.doubt >= kDoubtHard) {
       p.spared = false;
       GoCold(p, confirm);
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -583,6 +583,19 @@
   EXPECT_EQ(node.Ids<Send>().find('u'), std::string::npos);
 }
 
+// Found on sockets, on a day on which connections broke at random: endpoints that were well were left out.
+TEST(Health, ConnectionsThatBreakNowAndThenAreNoOutage) {
+  Node node;
+  node.List(0s, {At("e", 0, 1, 40)});
+  Warm(node, 0s);
+  node.Take(1s, "a");
+  for (const Time now : {1010ms, 1020ms}) {
+    node.End(now, "a", Outcome::kReset);
+    EXPECT_EQ(node.Ids<Send>(), "a");
+  }
+  EXPECT_TRUE(node.All<Log>().empty());
+}
+
 // Found on salatiga-kirim big-1: where probes are not allowed and nothing else came for a suspect, unsafe
 // messages waited for it until they were refused.
 TEST(Health, UnsafeMessagesAreNotHeldForEver) {
