Forget endpoints that no list names and keys at rest, in time

Seen from reading: the module kept every endpoint it ever heard of, and keys whose rest had not passed.

--- a/src/brain/decide.cpp
+++ b/src/brain/decide.cpp
@@ -69,6 +69,7 @@
 // together, and the shares of an outage's senders add up to 2.4.
 constexpr double kUnseen = 0.8;
 constexpr double kRateSeconds = 10;  // over which a usual rate is taken
+constexpr int kForgetWarm = 3;       // an endpoint gone for so many warm_within is forgotten
 constexpr Duration kTrackBackOff = milliseconds(500);
 
 struct Latency {  // of calls that answered, in microseconds
@@ -124,8 +125,9 @@
   bool outage = false;   // since the breaker opened, until warm
   Time retry_at{0}, last_ok{-1};
   bool trial = false;
-  int failures = 0;     // in a row, of calls, without connection or answer
-  bool spared = false;  // answered while another endpoint of the lane was struck
+  int failures = 0;          // in a row, of calls, without connection or answer
+  bool spared = false;       // answered while another endpoint of the lane was struck
+  std::optional<Time> gone;  // since when no list names it
 };
 
 struct Message;
@@ -143,6 +145,7 @@
   Time sent{0};
   std::optional<Time> may_have_run;                   // send time of the earliest attempt that may have run
   const Endpoint *may_at = nullptr, *last = nullptr;  // where that ran; of the last attempt
+  int may_zone = -1;                                  // of may_at
 };
 
 struct Destination {
@@ -201,6 +204,7 @@
     CloseUnkept();
     Release();
     ShedOverflow();  // last: what can leave at once is not shed for what waits
+    ForgetGone();
     std::erase_if(active_, [](const auto& at) { return at.second->waiting == 0; });
     RequestWake();
   }
@@ -217,7 +221,10 @@
     }
     if (!e.saved) tracked_ = true;
     if (e.kind == ListChanged::Kind::kWhole) {
-      for (auto& [id, endpoint] : endpoints_) endpoint.usable = false;
+      for (auto& [id, endpoint] : endpoints_) {
+        endpoint.usable = false;
+        if (!endpoint.gone) endpoint.gone = now_;
+      }
     }
     for (const EndpointEntry& entry : e.entries) {
       if (entry.kind < 0 || entry.kind >= static_cast<int>(s_.kinds.size())) {
@@ -234,6 +241,11 @@
         endpoint.lane = &lanes_[{entry.destination, apart ? entry.endpoint : std::string()}];
         At(entry.destination).endpoints.push_back(&endpoint);
       }
+      if (entry.state != EndpointEntry::State::kRemoved) {
+        endpoint.gone.reset();
+      } else if (!endpoint.gone) {
+        endpoint.gone = now_;
+      }
       // Drains: an endpoint told as draining or gone gets nothing more from this batch on.
       endpoint.usable = entry.state == EndpointEntry::State::kUp;
       if (endpoint.usable && entry.rate > 0 && s_.rates != Rates::kUntold)
@@ -269,7 +281,7 @@
     m.attempts = e.attempts;
     m.may_have_run = e.may_have_run;
     const auto ran_at = endpoints_.find(e.may_have_run_at);
-    if (m.may_have_run && ran_at != endpoints_.end()) m.may_at = &ran_at->second;
+    if (m.may_have_run && ran_at != endpoints_.end()) NoteWhere(m, ran_at->second);
     if ((m.may_have_run && c.effect == Effect::kUnsafe) || m.attempts >= s_.max_attempts) return GiveUp(m);
     NoteWindow(m);
     Enqueue(m);
@@ -295,7 +307,7 @@
                          e.outcome == Outcome::kReset || e.outcome == Outcome::kCancelled;
     if (may_run && !m.may_have_run) {
       m.may_have_run = m.sent;
-      m.may_at = &endpoint;
+      NoteWhere(m, endpoint);
       NoteWindow(m);
     }
     if (may_run && e.outcome != Outcome::kError && !m.key.empty()) {  // it may still run: the key rests
@@ -359,6 +371,10 @@
     --held_;
   }
 
+  void NoteWhere(Message& m, const Endpoint& p) {
+    m.may_at = &p;
+    m.may_zone = p.zone;
+  }
   void NoteWindow(const Message& m) {
     const ClassSettings& c = s_.classes[m.cls];
     if (m.may_have_run && c.effect == Effect::kKeyed) {
@@ -371,7 +387,7 @@
     if (!m.key.empty()) {
       KeyLine& line = keys_[m.key];
       line.order.erase(std::find(line.order.begin(), line.order.end(), &m));
-      if (line.order.empty() && line.quiet_until <= now_) keys_.erase(m.key);
+      if (line.order.empty()) resting_.emplace(line.quiet_until, m.key);
     }
     messages_.erase(m.id);
   }
@@ -400,6 +416,32 @@
     EraseIfOver(m);
   }
 
+  // Guards the memory against endpoints that are replaced all day long.
+  void ForgetGone() {
+    for (; !resting_.empty() && resting_.begin()->first <= now_; resting_.erase(resting_.begin())) {
+      const auto at = keys_.find(resting_.begin()->second);
+      if (at != keys_.end() && at->second.order.empty() && at->second.quiet_until <= now_) keys_.erase(at);
+    }
+    if (now_ < look_for_gone_) return;
+    look_for_gone_ = now_ + seconds(1);
+    for (auto at = endpoints_.begin(); at != endpoints_.end();) {
+      Endpoint& p = at->second;
+      // Its trouble is remembered until a destination that had it would be warm for long.
+      if (!p.gone || p.out > 0 || *p.gone + kForgetWarm * s_.warm_within > now_) {
+        ++at;
+        continue;
+      }
+      for (auto& [id, m] : messages_) {
+        if (m.may_at == &p) m.may_at = nullptr;
+        if (m.last == &p) m.last = nullptr;
+      }
+      std::erase(At(p.destination).endpoints, &p);
+      idle_.erase(p.id);
+      if (s_.kinds[p.kind].routes_apart) lanes_.erase({p.destination, p.id});
+      at = endpoints_.erase(at);
+    }
+  }
+
   // ---- Estimates ----------------------------------------------------------------------------------------
 
   // Expected call time: mean plus two deviations, nought before any call returns. A destination known from a
@@ -453,7 +495,7 @@
       if (m.may_have_run && c.effect == Effect::kKeyed) {
         // A keyed message that may have run goes only where, and while, its key is remembered.
         if (now_ + kLeastNotice > *m.may_have_run + c.repeat_window) continue;
-        if (c.key_scope == KeyScope::kZone && (!m.may_at || p->zone != m.may_at->zone)) continue;
+        if (c.key_scope == KeyScope::kZone && p->zone != m.may_zone) continue;
         if (c.key_scope == KeyScope::kEndpoint && p != m.may_at) continue;
       }
       double price = kQueueing * p->out + Doubt(*p);
@@ -986,6 +1028,7 @@
   std::map<std::string, Endpoint> endpoints_;
   std::map<std::pair<int, std::string>, Lane> lanes_;
   std::map<std::string, KeyLine> keys_;
+  std::multimap<Time, std::string> resting_;  // keys of which nothing is held, until they may be forgotten
   std::map<std::uint64_t, Call> calls_;
   Latency pool_;
   std::uint64_t next_number_ = 0, next_call_ = 0;
@@ -998,6 +1041,7 @@
   int held_ = 0, relegated_ = 0, suspect_out_ = 0;
   double relegated_share_ = 0;
   bool slots_bound_ = false;
+  Time look_for_gone_{std::numeric_limits<std::int64_t>::min()};
   bool tracked_ = false, tracking_asked_ = false;
   Time track_at_{std::numeric_limits<std::int64_t>::min()};
   Time wake_ = Time::max(), wake_asked_ = Time::max(), stop_at_ = Time::max();
