--- a/tests/node/parsers_test.cpp
+++ b/tests/node/parsers_test.cpp
@@ -176,5 +176,5 @@
   ATornLastRecordIsCutOff();
   AnAttemptOnRecordMayHaveRun();
   TheLogStaysWithinItsShareOfTheDisk();
-  std::puts("7 passed, 0 failed");
+  std::puts("8 passed, 0 failed");
 }
