Give the program a command line, a structured log and a validated operator's file

The kept messages need sub-commands, events with fields and settings that name what is wrong; the program had printf lines, no arguments and hand-made checks of each key.

--- a/src/app/dispatcher.cpp
+++ b/src/app/dispatcher.cpp
@@ -1,6 +1,5 @@
 #include "app/dispatcher.h"
 
-#include <cstdio>
 #include <stdexcept>
 
 #include "registry/planners.h"
@@ -16,8 +15,9 @@
 
 }  // namespace
 
-Dispatcher::Dispatcher(Loop& loop, const Config& config, const DeployFile& deploy)
+Dispatcher::Dispatcher(Loop& loop, Logger& log, const Config& config, const DeployFile& deploy)
     : loop_(loop),
+      log_(log),
       config_(config),
       step_(loop_, [this] { Step(); }),
       wake_(loop_, [this] { chain_.route.Add(WakeDue{}); }),
@@ -38,17 +38,15 @@
             [this](const CallResult& result) { chain_.relay.Back(result); }),
       notices_(
           loop_, config_.discovery, Notices::Platform(),
-          [this](std::uint64_t number) { chain_.book.Heard(number); },
-          [this](const std::string& line) { Log(line); }),
+          [this](std::uint64_t number) { chain_.book.Heard(number); }, log_),
       chain_(config_.site, config_.seed, ledger_, store_, pool_, *this, *this, clock_) {
-  Log("store: " + store_.note());
+  log_.Info("store.read", {{"note", store_.note()}});
   if (deploy.cloudevents && deploy.cloudevents->sink) {
     results_ = std::make_unique<Notices>(
         loop_, *deploy.cloudevents->sink,
         Notices::Batch(deploy.cloudevents->sink_path,
                        [this](const Message& message) { return ResultEvent(message, config_.name); }),
-        [this](std::uint64_t number) { chain_.book.Heard(number); },
-        [this](const std::string& line) { Log(line); });
+        [this](std::uint64_t number) { chain_.book.Heard(number); }, log_);
   }
   peers_ = std::make_unique<Peers>(loop_, config_, [this](const PeerNote& n) { chain_.route.Add(n); });
   chain_.route.Listed(config_.known);
@@ -57,8 +55,7 @@
   if (!deploy.eureka) {
     watch_ = std::make_unique<Watch>(
         loop_, config_.discovery, config_.site, config_.known.revision,
-        [this](const ListNews& news) { chain_.route.Listed(news); },
-        [this](const std::string& line) { Log(line); });
+        [this](const ListNews& news) { chain_.route.Listed(news); }, log_);
   }
   const Shares shares = Share(config_, deploy.cloudevents.has_value(), deploy.role != Role::kPlanner);
   if (deploy.role != Role::kPlanner) {
@@ -72,10 +69,10 @@
         loop_, deploy.cloudevents->listen,
         Server::Limits{shares.event_body, shares.events, CloudEventsFront::kMostHead},
         [this](const std::shared_ptr<Exchange>& exchange) { events_front_->Handle(exchange); });
-    Log("cloudevents: on " + deploy.cloudevents->listen.host + ":" + std::to_string(events_->port()));
+    log_.Info("cloudevents.ready", {{"host", deploy.cloudevents->listen.host}, {"port", events_->port()}});
   }
   if (deploy.eureka) FollowRegistry(*deploy.eureka, deploy.role);
-  Log("ready: " + config_.name + (server_ ? " on port " + std::to_string(server_->port()) : ""));
+  log_.Info("ready", {{"name", config_.name}, {"port", port()}});
 }
 
 Dispatcher::~Dispatcher() = default;
@@ -96,14 +93,16 @@
         const auto at = all.find(app);
         const std::map<std::string, Instance> none;
         chain_.route.Listed(PartnerList(at == all.end() ? none : at->second, config_.site, problems));
-        for (const std::string& problem : problems) Log("eureka: " + problem);
+        for (const std::string& problem : problems) log_.Warn("eureka.left_out", {{"why", problem}});
       },
-      [this](const std::string& line) { Log(line); });
+      log_);
 }
 
 void Dispatcher::Log(const std::string& line) {
-  std::fprintf(stdout, "%s\n", line.c_str());
-  std::fflush(stdout);
+  // The module writes "what: detail".
+  const std::size_t colon = line.find(": ");
+  if (colon == std::string::npos) return log_.Info("module.note", {{"detail", line}});
+  log_.Info("module." + line.substr(0, colon), {{"detail", line.substr(colon + 2)}});
 }
 
 void Dispatcher::Tell(const Message& message) {
@@ -120,7 +119,7 @@
 void Dispatcher::Stop() {
   if (stopping_) return;
   stopping_ = true;
-  Log("stopping: " + std::to_string(ledger_.held()) + " messages held");
+  log_.Info("stopping", {{"held", ledger_.held()}});
   chain_.admit.Stop();
   chain_.route.Add(Stopping{kLongestStop - milliseconds(100)});
   for (Server* server : {server_.get(), events_.get()}) {
@@ -143,7 +142,8 @@
   config_.discovery = config.discovery;
   if (moved && watch_) watch_->Move(config_.discovery);
   if (moved) notices_.Move(config_.discovery);
-  Log("reload: discovery at " + config_.discovery.host + ":" + std::to_string(config_.discovery.port));
+  log_.Info("reload.done",
+            {{"discovery", config_.discovery.host + ":" + std::to_string(config_.discovery.port)}});
 }
 
 void Dispatcher::EndIfDone() {
--- a/src/app/dispatcher.h
+++ b/src/app/dispatcher.h
@@ -10,6 +10,7 @@
 #include "config/deploy.h"
 #include "front/cloudevents/front.h"
 #include "front/platform/platform.h"
+#include "log/log.h"
 #include "net/endpoint_pool.h"
 #include "net/loop.h"
 #include "net/notices.h"
@@ -24,7 +25,7 @@
 
 class Dispatcher : public Host, private Teller {
  public:
-  Dispatcher(Loop& loop, const Config& config, const DeployFile& deploy);
+  Dispatcher(Loop& loop, Logger& log, const Config& config, const DeployFile& deploy);
   ~Dispatcher() override;
 
   void Stop();  // as SIGTERM asks for it; breaks the loop once done
@@ -45,6 +46,7 @@
   void FollowRegistry(const EurekaSettings& settings, Role role);
 
   Loop& loop_;
+  Logger& log_;
   Config config_;
   SystemClock clock_;
   Timer step_, wake_, close_, end_;
--- a/src/app/forwarder.cpp
+++ b/src/app/forwarder.cpp
@@ -1,6 +1,5 @@
 #include "app/forwarder.h"
 
-#include <cstdio>
 #include <set>
 #include <utility>
 
@@ -20,11 +19,6 @@
 constexpr Duration kAllTries = milliseconds(330);
 constexpr Duration kLongestStop = milliseconds(3000);
 
-void Print(const std::string& line) {
-  std::fprintf(stdout, "%s\n", line.c_str());
-  std::fflush(stdout);
-}
-
 }  // namespace
 
 struct Forwarder::Passing {
@@ -39,13 +33,13 @@
   Timer timer;
 };
 
-Forwarder::Forwarder(Loop& loop, const Config& config, const DeployFile& deploy)
+Forwarder::Forwarder(Loop& loop, Logger& log, const Config& config, const DeployFile& deploy)
     : loop_(loop),
+      log_(log),
       site_(config.site),
       planners_app_(deploy.eureka->planners),
       eureka_(std::make_unique<EurekaClient>(
-          loop, *deploy.eureka, Instance{}, [](const Applications&) {},
-          [](const std::string& line) { Print(line); })),
+          loop, *deploy.eureka, Instance{}, [](const Applications&) {}, log)),
       calls_(loop),
       end_(loop, [this] { loop_.Break(); }) {
   const Shares shares = Share(config, true);
@@ -55,7 +49,8 @@
       std::make_unique<Server>(loop, deploy.cloudevents->listen,
                                Server::Limits{shares.event_body, shares.events, CloudEventsFront::kMostHead},
                                [this](const std::shared_ptr<Exchange>& e) { Events(e); });
-  Print("forwarder: ready on " + std::to_string(plain_->port()) + " and " + std::to_string(events_->port()));
+  log_.Info("ready",
+            {{"name", config.name}, {"role", "forwarder"}, {"port", port()}, {"events_port", events_port()}});
 }
 Forwarder::~Forwarder() = default;
 
@@ -170,7 +165,7 @@
 
 void Forwarder::Stop() {
   if (std::exchange(stopping_, true)) return;
-  Print("stopping: " + std::to_string(out_) + " submissions on their way");
+  log_.Info("stopping", {{"on_their_way", out_}});
   plain_->CloseBetweenRequests();
   events_->CloseBetweenRequests();
   end_.After(kLongestStop);
--- a/src/app/forwarder.h
+++ b/src/app/forwarder.h
@@ -21,7 +21,7 @@
 class Forwarder {
  public:
   // `config.listen`: the plain front; a port of 0 takes any.
-  Forwarder(Loop& loop, const Config& config, const DeployFile& deploy);
+  Forwarder(Loop& loop, Logger& log, const Config& config, const DeployFile& deploy);
   ~Forwarder();
 
   void Reload(const Config&) {}  // nothing here may change under way
@@ -44,6 +44,7 @@
   void EndIfDone();
 
   Loop& loop_;
+  Logger& log_;
   const SiteSettings& site_;
   const std::string planners_app_;
   std::unique_ptr<EurekaClient> eureka_;
--- /dev/null
+++ b/src/cli/options.cpp
@@ -0,0 +1,152 @@
+#include "cli/options.h"
+
+#include <CLI/CLI.hpp>
+#include <cstdlib>
+#include <stdexcept>
+
+namespace sagetally {
+namespace {
+
+constexpr int kWrongUsage = 2;
+
+std::string VariableFor(std::string path) {
+  for (char& c : path) c = c == '.' ? '_' : static_cast<char>(std::toupper(static_cast<unsigned char>(c)));
+  return "SAGETALLY_" + path;
+}
+
+void AddCommon(CLI::App& app, Options& o) {
+  const auto add = [&](const char* flag, std::string& to, const char* variable, const char* text) {
+    app.add_option(flag, to, text)->envname(variable);
+  };
+  add("--config", o.config, "BALANCER_CONFIG", "the platform's configuration, a JSON file");
+  add("--name", o.name, "BALANCER_NAME", "this node's name; goes before the file");
+  add("--listen", o.listen, "BALANCER_LISTEN", "address for clients; goes before the file");
+  add("--discovery", o.discovery, "BALANCER_DISCOVERY", "address of discovery; goes before the file");
+  add("--state", o.state, "BALANCER_STATE", "the folder that lasts; goes before the file");
+  add("--node-file", o.node_file, "SAGETALLY_NODE_FILE", "the operator's JSON file; may be absent");
+  static const std::map<std::string, LogFormat> formats = {{"text", LogFormat::kText},
+                                                           {"json", LogFormat::kJson}};
+  static const std::map<std::string, LogLevel> levels = {{"debug", LogLevel::kDebug},
+                                                         {"info", LogLevel::kInfo},
+                                                         {"warning", LogLevel::kWarning},
+                                                         {"error", LogLevel::kError}};
+  app.add_option("--log-format", o.log.format, "text or json, one line an event")
+      ->envname("SAGETALLY_LOG_FORMAT")
+      ->transform(CLI::CheckedTransformer(formats).description(""))
+      ->option_text("text|json");
+  app.add_option("--log-level", o.log.level, "the least level that is written")
+      ->envname("SAGETALLY_LOG_LEVEL")
+      ->transform(CLI::CheckedTransformer(levels).description(""))
+      ->option_text("debug|info|warning|error");
+  // Each leaf of the schema is a flag and a variable.
+  for (const SettingName& setting : NodeSettings()) {
+    app.add_option_function<std::string>(
+           "--" + setting.path,
+           [&o, path = setting.path](const std::string& value) { o.node_settings[path] = value; },
+           setting.description)
+        ->envname(VariableFor(setting.path))
+        ->group("Settings of the operator's file, which go before it");
+  }
+}
+
+void AddKept(CLI::App& app, KeptOptions& k) {
+  CLI::App* kept =
+      app.add_subcommand("kept", "undeliverable messages: inspect them, send them again by rule");
+  kept->require_subcommand(1);
+  kept->fallthrough(false);
+  const auto command = [&](CLI::App* parent, const char* name, const char* text, std::string full) {
+    CLI::App* sub = parent->add_subcommand(name, text);
+    sub->callback([&k, full] { k.command = full; });
+    return sub;
+  };
+  const auto state = [&](CLI::App* sub) {
+    sub->add_option("--state", k.state, "the node's state folder")->envname("BALANCER_STATE")->required();
+    sub->add_flag("--json", k.as_json, "one JSON value a line instead of a table")->envname("SAGETALLY_JSON");
+  };
+  const auto filter = [&](CLI::App* sub) {
+    sub->add_option("--filter,filter", k.filter, "a condition of the rule language, such as 'age > 1h'")
+        ->envname("SAGETALLY_FILTER")
+        ->capture_default_str();
+  };
+  CLI::App* list = command(kept, "list", "a page of kept messages, oldest first", "list");
+  state(list), filter(list);
+  list->add_option("--limit", k.limit, "messages on a page")
+      ->envname("SAGETALLY_LIMIT")
+      ->check(CLI::Range(1, 1000))
+      ->capture_default_str();
+  list->add_option("--after", k.after, "the id at the end of the last page")->envname("SAGETALLY_AFTER");
+  CLI::App* show = command(kept, "show", "one message with its whole history", "show");
+  state(show);
+  show->add_option("id", k.id, "NODE/NUMBER, as list prints it")->envname("SAGETALLY_ID")->required();
+  show->add_flag("--body", k.with_body, "print the body too")->envname("SAGETALLY_BODY");
+  CLI::App* stats = command(kept, "stats", "counts and sizes", "stats");
+  state(stats);
+  stats->add_option("--by", k.by, "what to count by")
+      ->envname("SAGETALLY_BY")
+      ->check(CLI::IsMember({"reason", "class", "destination", "state", "end"}))
+      ->capture_default_str();
+  CLI::App* exported = command(kept, "export", "matching messages as JSON lines", "export");
+  state(exported), filter(exported);
+  exported->add_option("--output", k.output, "a file that must not exist; absent: standard output")
+      ->envname("SAGETALLY_OUTPUT");
+  exported->add_flag("--body", k.with_body, "with the bodies, in base64")->envname("SAGETALLY_BODY");
+  CLI::App* dry = command(kept, "try", "what a rule file would do, without doing it", "try");
+  state(dry);
+  dry->add_option("rules", k.rules, "the rule file")->envname("SAGETALLY_RULES")->required();
+  for (const char* action : {"resend", "hold", "drop"}) {
+    CLI::App* sub = command(kept, action, "by hand, for all that match; the judge still decides", action);
+    state(sub);
+    sub->add_option("--filter,filter", k.filter, "a condition of the rule language")
+        ->envname("SAGETALLY_FILTER")
+        ->required();
+    sub->add_flag("--yes", k.yes, "do it; without this only counts are printed")->envname("SAGETALLY_YES");
+  }
+  CLI::App* rules = kept->add_subcommand("rules", "rule files");
+  rules->require_subcommand(1);
+  CLI::App* check = command(rules, "check", "reads a rule file and says what is wrong", "rules check");
+  check->add_option("rules", k.rules, "the rule file")->envname("SAGETALLY_RULES")->required();
+}
+
+}  // namespace
+
+Config Options::ReadConfiguration(Needs needs) const {
+  const std::map<std::string, std::string> given = {{"BALANCER_CONFIG", config},
+                                                    {"BALANCER_NAME", name},
+                                                    {"BALANCER_LISTEN", listen},
+                                                    {"BALANCER_DISCOVERY", discovery},
+                                                    {"BALANCER_STATE", state}};
+  return ReadConfig(
+      [&](const char* variable) -> const char* {
+        const auto at = given.find(variable);
+        return at == given.end() || at->second.empty() ? nullptr : at->second.c_str();
+      },
+      needs);
+}
+
+CommandLine ParseCommandLine(int argc, const char* const* argv) {
+  CommandLine line;
+  CLI::App app{"sagetally: delivers messages to partner systems, each with exactly one end"};
+  app.set_version_flag("--version", std::string("sagetally ") + SAGETALLY_VERSION);
+  app.require_subcommand(0, 1);
+  AddCommon(app, line.options);
+  // The options may stand on either side of these words; `sagetally` alone serves.
+  app.add_subcommand("serve", "serves until SIGTERM (as without a sub-command)")->fallthrough();
+  app.add_subcommand("check-config", "reads all configuration, says what is wrong, and ends")
+      ->fallthrough()
+      ->callback([&] { line.command = CommandLine::Command::kCheckConfig; });
+  AddKept(app, line.kept);
+  for (CLI::App* sub : app.get_subcommands({})) {
+    sub->set_version_flag("--version", std::string("sagetally ") + SAGETALLY_VERSION);
+  }
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& error) {
+    line.command = CommandLine::Command::kNone;
+    line.exit_code = app.exit(error) == 0 ? 0 : kWrongUsage;
+    return line;
+  }
+  if (!line.kept.command.empty()) line.command = CommandLine::Command::kKept;
+  return line;
+}
+
+}  // namespace sagetally
--- /dev/null
+++ b/src/cli/options.h
@@ -0,0 +1,52 @@
+// The command line: flags, environment variables and sub-commands, on CLI11.
+#ifndef SAGETALLY_SRC_CLI_OPTIONS_H_
+#define SAGETALLY_SRC_CLI_OPTIONS_H_
+
+#include <map>
+#include <string>
+
+#include "config/config.h"
+#include "config/deploy.h"
+#include "log/log.h"
+
+namespace sagetally {
+
+struct Options {  // that every sub-command takes
+  // Each a flag and one of BALANCER_CONFIG, _NAME, _LISTEN, _DISCOVERY, _STATE; empty: not given.
+  std::string config, name, listen, discovery, state;
+  std::string node_file = "deploy/node.json";
+  Overrides node_settings;
+  LogOptions log;
+
+  DeployFile ReadNode() const { return ReadDeployFile(node_file, node_settings); }
+  // Throws std::runtime_error naming the file and key at fault.
+  Config ReadConfiguration(Needs needs) const;
+};
+
+struct KeptOptions {  // of `sagetally kept ...`
+  std::string command;
+  std::string state;  // the node's state folder, or the folder of kept.db
+  std::string filter = "true";
+  std::string rules;  // a file
+  std::string id;     // a kept message, NODE/NUMBER
+  std::string after;  // a page's last id
+  std::string by = "reason";
+  std::string output;
+  int limit = 50;
+  bool as_json = false, with_body = false, yes = false;
+};
+
+struct CommandLine {
+  enum class Command { kServe, kCheckConfig, kKept, kNone };
+  Command command = Command::kServe;
+  Options options;
+  KeptOptions kept;
+  int exit_code = 0;  // kNone: help or a version was asked for, or the usage was wrong (2)
+};
+
+// Prints help, the version or what is wrong with the usage by itself.
+CommandLine ParseCommandLine(int argc, const char* const* argv);
+
+}  // namespace sagetally
+
+#endif  // SAGETALLY_SRC_CLI_OPTIONS_H_
--- a/src/config/deploy.cpp
+++ b/src/config/deploy.cpp
@@ -1,60 +1,141 @@
 #include "config/deploy.h"
 
 #include <fstream>
+#include <nlohmann/json.hpp>
 #include <sstream>
+#include <stdexcept>
+
+#include "config/schema.h"
 
 namespace sagetally {
+namespace {
 
-using namespace json;
+using Json = nlohmann::json;
 
-DeployFile ParseDeployFile(const std::string& text) {
-  simdjson::dom::parser parser;
-  Value root;
-  if (const auto error = parser.parse(text).get(root)) {
-    Malformed(std::string("no JSON: ") + simdjson::error_message(error));
+void Leaves(const Json& schema, const std::string& prefix, std::vector<SettingName>& out) {
+  for (const auto& [name, part] : schema["properties"].items()) {
+    if (part.value("type", "") == "object") {
+      Leaves(part, prefix + name + ".", out);
+    } else {
+      out.push_back({prefix + name, part.value("description", "")});
+    }
   }
-  DeployFile file;
-  const auto role = Get<std::string>(root, "role", "both");
-  if (role != "both" && role != "forwarder" && role != "planner") {
-    Malformed("role: '" + role + "' is none of both, forwarder, planner");
+}
+
+const Json& SchemaPart(const Json& schema, const std::string& path) {
+  const Json* part = &schema;
+  std::istringstream steps(path);
+  for (std::string step; std::getline(steps, step, '.');) part = &part->at("properties").at(step);
+  return *part;
+}
+
+Json FromText(const Json& part, const std::string& text) {
+  const std::string type = part.value("type", "string");
+  if (type == "array") {
+    Json list = Json::array();
+    std::istringstream items(text);
+    for (std::string item; std::getline(items, item, ',');) list.push_back(item);
+    return list;
   }
+  if (type == "string") return text;
+  Json value = Json::parse(text, nullptr, false);  // a number or a boolean; else the schema turns it down
+  return value.is_discarded() ? Json(text) : value;
+}
+
+Address At(const Json& part, const char* key, const char* name) {
+  return ParseAddress(part.at(key).get<std::string>(), name);
+}
+
+Duration Milliseconds(const Json& part, const char* key, Duration otherwise) {
+  const double ms = part.value(key, static_cast<double>(otherwise.count()) / 1000.0);
+  return sagetally::json::Milliseconds(ms);
+}
+
+KeptSettings ReadKept(const Json& part) {
+  KeptSettings k;
+  k.folder = part.value("folder", k.folder);
+  k.rules_path = part.value("rules", k.rules_path);
+  if (part.contains("ends")) {
+    k.undeliverable = k.deferred = false;
+    for (const Json& end : part["ends"]) (end == "deferred" ? k.deferred : k.undeliverable) = true;
+  }
+  k.budget_bytes = static_cast<std::size_t>(part.value("budget_mb", 64.0) * 1e6);
+  k.age = Duration(static_cast<std::int64_t>(part.value("age_hours", 720.0) * 3600e6));
+  k.owed_bytes = static_cast<std::size_t>(part.value("owed_mb", 1.0) * 1e6);
+  k.slots_share = part.value("slots_share", k.slots_share);
+  k.held_share = part.value("held_share", k.held_share);
+  k.destination_rate = part.value("destination_rate", k.destination_rate);
+  k.backoff = Milliseconds(part, "backoff_ms", k.backoff);
+  k.backoff_most = std::max(k.backoff, Milliseconds(part, "backoff_most_ms", k.backoff_most));
+  return k;
+}
+
+}  // namespace
+
+std::vector<SettingName> NodeSettings() {
+  std::vector<SettingName> all;
+  Leaves(Json::parse(kNodeSchema), "", all);
+  return all;
+}
+
+DeployFile ParseDeployFile(const std::string& text, const Overrides& overrides) {
+  Json root;
+  try {
+    root = Json::parse(text);
+  } catch (const Json::parse_error& error) {
+    throw std::runtime_error(std::string("no JSON: ") + error.what());
+  }
+  const Json schema = Json::parse(kNodeSchema);
+  for (const auto& [path, value] : overrides) {
+    Json* at = &root;
+    std::istringstream steps(path);
+    for (std::string step; std::getline(steps, step, '.');) at = &(*at)[step];
+    *at = FromText(SchemaPart(schema, path), value);
+  }
+  Validate(schema, root);
+  DeployFile file;
+  const std::string role = root.value("role", "both");
   file.role = role == "both" ? Role::kBoth : role == "planner" ? Role::kPlanner : Role::kForwarder;
-  if (Value part; Find(root, "cloudevents", part)) {
+  if (root.contains("cloudevents")) {
+    const Json& part = root["cloudevents"];
     CloudEventsSettings c;
-    c.listen = ParseAddress(Get<std::string>(part, "listen"), "cloudevents.listen");
-    const auto sink = Get<std::string>(part, "sink", "");
-    if (!sink.empty()) c.sink = ParseAddress(sink, "cloudevents.sink");
-    c.sink_path = Get<std::string>(part, "sink_path", c.sink_path);
+    c.listen = At(part, "listen", "/cloudevents/listen");
+    if (!part.value("sink", "").empty()) c.sink = At(part, "sink", "/cloudevents/sink");
+    c.sink_path = part.value("sink_path", c.sink_path);
     file.cloudevents = c;
   }
-  if (Value part; Find(root, "eureka", part)) {
+  if (root.contains("eureka")) {
+    const Json& part = root["eureka"];
     EurekaSettings e;
-    e.registry = ParseAddress(Get<std::string>(part, "registry"), "eureka.registry");
-    e.path = Get<std::string>(part, "path", e.path);
-    e.host = Get<std::string>(part, "host", file.cloudevents ? file.cloudevents->listen.host : "");
-    e.planners = Get<std::string>(part, "planners", e.planners);
-    e.partners = Get<std::string>(part, "partners", e.partners);
-    e.renew = GetMs(part, "renew_ms", 30000.0);
-    e.fetch = GetMs(part, "fetch_ms", 30000.0);
-    if (e.renew <= Duration(0) || e.fetch <= Duration(0))
-      Malformed("eureka: renew_ms and fetch_ms must be positive");
+    e.registry = At(part, "registry", "/eureka/registry");
+    e.path = part.value("path", e.path);
+    e.host = part.value("host", file.cloudevents ? file.cloudevents->listen.host : "");
+    e.planners = part.value("planners", e.planners);
+    e.partners = part.value("partners", e.partners);
+    e.renew = Milliseconds(part, "renew_ms", e.renew);
+    e.fetch = Milliseconds(part, "fetch_ms", e.fetch);
     file.eureka = e;
   }
+  if (root.contains("kept")) file.kept = ReadKept(root["kept"]);
   if (file.role != Role::kBoth && (!file.cloudevents || !file.eureka)) {
-    Malformed("role: a " + role + " needs the keys cloudevents and eureka");
+    throw std::runtime_error("/role: expected the keys cloudevents and eureka beside the role " + role +
+                             ", found only some of them");
+  }
+  if (file.role == Role::kForwarder && file.kept) {
+    throw std::runtime_error("/kept: expected a role that holds messages (both, planner), found forwarder");
   }
   return file;
 }
 
-DeployFile ReadDeployFile(const std::string& path) {
+DeployFile ReadDeployFile(const std::string& path, const Overrides& overrides) {
   std::ifstream file(path);
-  if (!file) return {};
   std::ostringstream text;
-  text << file.rdbuf();
+  if (file) text << file.rdbuf();
+  if (!file && overrides.empty()) return {};
   try {
-    return ParseDeployFile(text.str());
-  } catch (const std::exception& e) {
-    Malformed(path + ": " + e.what());
+    return ParseDeployFile(file ? text.str() : "{}", overrides);
+  } catch (const std::exception& error) {
+    throw std::runtime_error(path + ": " + error.what());
   }
 }
 
--- a/src/config/deploy.h
+++ b/src/config/deploy.h
@@ -1,10 +1,13 @@
-// The optional file under deploy/ for what stands beside the platform: the CloudEvents front, the role of
-// this process and the registry it uses. Without the file there is none of these.
+// The operator's optional file, deploy/node.json, for what stands beside the platform: the CloudEvents front,
+// the role of this process, the registry it uses and the messages it keeps. Without the file there is none of
+// these. Its form is deploy/schema/node.schema.json, which is compiled in.
 #ifndef SAGETALLY_SRC_CONFIG_DEPLOY_H_
 #define SAGETALLY_SRC_CONFIG_DEPLOY_H_
 
+#include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "config/config.h"
 
@@ -28,15 +31,38 @@
   Duration fetch = std::chrono::seconds(30);
 };
 
+struct KeptSettings {
+  std::string folder;      // empty: "kept" in the state folder
+  std::string rules_path;  // empty: no rules
+  bool undeliverable = true, deferred = false;
+  std::size_t budget_bytes = 64'000'000;
+  Duration age = std::chrono::hours(24 * 30);
+  std::size_t owed_bytes = 1'000'000;
+  double slots_share = 0.1, held_share = 0.1;  // that resends may take
+  double destination_rate = 5;                 // resends a second
+  Duration backoff = std::chrono::seconds(2);
+  Duration backoff_most = std::chrono::minutes(10);
+};
+
 struct DeployFile {
   Role role = Role::kBoth;
   std::optional<CloudEventsSettings> cloudevents;
   std::optional<EurekaSettings> eureka;
+  std::optional<KeptSettings> kept;
+};
+
+// Settings that go before the file's, by path, such as {"cloudevents.listen", "127.0.0.1:9080"}.
+using Overrides = std::map<std::string, std::string>;
+
+struct SettingName {  // one leaf of the schema
+  std::string path, description;
 };
+std::vector<SettingName> NodeSettings();
 
-// Throw std::runtime_error naming the key at fault.
-DeployFile ParseDeployFile(const std::string& text);
-DeployFile ReadDeployFile(const std::string& path);  // absent: all off
+// Throw std::runtime_error naming the JSON pointer at fault, what was expected and what was found.
+DeployFile ParseDeployFile(const std::string& text, const Overrides& overrides = {});
+// Names the file too. An absent file is an empty one.
+DeployFile ReadDeployFile(const std::string& path, const Overrides& overrides = {});
 
 }  // namespace sagetally
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,54 +1,78 @@
-// The dispatcher: wires the chain of stages to sockets, store and clock, and runs it until it is told to
-// stop.
+// The program: reads the command line, wires one role to its loop and runs it until it is told to stop.
 #include <csignal>
-#include <cstdio>
-#include <cstdlib>
 #include <exception>
+#include <iostream>
 
 #include "app/dispatcher.h"
 #include "app/forwarder.h"
+#include "cli/options.h"
 
+namespace sagetally {
 namespace {
 
-const char* Environment(const char* name) { return std::getenv(name); }
+Needs NeedsOf(const DeployFile& deploy) {
+  return {.discovery = deploy.role == Role::kBoth, .state = deploy.role != Role::kForwarder};
+}
 
 template <typename Node>
-void Serve(sagetally::Loop& loop, Node& node, sagetally::Needs needs) {
-  const sagetally::Signal term(loop, SIGTERM, [&] { node.Stop(); });
-  const sagetally::Signal interrupt(loop, SIGINT, [&] { node.Stop(); });
+void Run(Loop& loop, Logger& log, Node& node, const Options& options, Needs needs) {
+  const Signal term(loop, SIGTERM, [&] { node.Stop(); });
+  const Signal interrupt(loop, SIGINT, [&] { node.Stop(); });
   needs.again = true;
-  const sagetally::Signal hang_up(loop, SIGHUP, [&] {
+  const Signal hang_up(loop, SIGHUP, [&] {
     try {  // guards against a file that can't be used: one log line, and the old configuration stays
-      node.Reload(sagetally::ReadConfig(Environment, needs));
+      node.Reload(options.ReadConfiguration(needs));
     } catch (const std::exception& error) {
-      std::printf("reload: %s, the old configuration stays\n", error.what());
-      std::fflush(stdout);
+      log.Error("reload.refused", {{"why", error.what()}});
     }
   });
   loop.Run();
 }
 
+void Serve(const Options& options) {
+  const DeployFile deploy = options.ReadNode();
+  const Needs needs = NeedsOf(deploy);
+  const Config config = options.ReadConfiguration(needs);
+  Logger log(options.log);
+  Loop loop;
+  if (deploy.role == Role::kForwarder) {
+    Forwarder forwarder(loop, log, config, deploy);
+    Run(loop, log, forwarder, options, needs);
+  } else {
+    Dispatcher dispatcher(loop, log, config, deploy);
+    Run(loop, log, dispatcher, options, needs);
+  }
+}
+
+void CheckConfig(const Options& options) {
+  const DeployFile deploy = options.ReadNode();
+  const Config config = options.ReadConfiguration(NeedsOf(deploy));
+  std::cout << "configuration can be used: node " << config.name << "\n";
+}
+
 }  // namespace
+}  // namespace sagetally
 
-int main() {
+int main(int argc, char** argv) {
+  using namespace sagetally;
   std::signal(SIGPIPE, SIG_IGN);
   std::signal(SIGHUP, SIG_IGN);  // until there is something to read again
   try {
-    const sagetally::DeployFile deploy = sagetally::ReadDeployFile("deploy/node.json");
-    const sagetally::Needs needs{.discovery = deploy.role == sagetally::Role::kBoth,
-                                 .state = deploy.role != sagetally::Role::kForwarder};
-    const sagetally::Config config = sagetally::ReadConfig(Environment, needs);
-    sagetally::Loop loop;
-    if (deploy.role == sagetally::Role::kForwarder) {
-      sagetally::Forwarder forwarder(loop, config, deploy);
-      Serve(loop, forwarder, needs);
-    } else {
-      sagetally::Dispatcher dispatcher(loop, config, deploy);
-      Serve(loop, dispatcher, needs);
+    const CommandLine line = ParseCommandLine(argc, argv);
+    switch (line.command) {
+      case CommandLine::Command::kNone:
+        return line.exit_code;
+      case CommandLine::Command::kCheckConfig:
+        CheckConfig(line.options);
+        return 0;
+      case CommandLine::Command::kKept:
+        return 1;
+      case CommandLine::Command::kServe:
+        Serve(line.options);
+        return 0;
     }
-    return 0;
   } catch (const std::exception& error) {
-    std::fprintf(stderr, "sagetally: %s\n", error.what());
+    std::cerr << "sagetally: " << error.what() << "\n";
     return 1;
   }
 }
--- a/src/net/notices.cpp
+++ b/src/net/notices.cpp
@@ -31,12 +31,12 @@
 }
 
 Notices::Notices(Loop& loop, const Address& to, Form form, std::function<void(std::uint64_t)> heard,
-                 std::function<void(const std::string&)> log)
+                 Logger& log)
     : loop_(loop),
       to_(to),
       form_(std::move(form)),
       heard_(std::move(heard)),
-      log_(std::move(log)),
+      log_(log),
       post_(loop, [this] { Post(); }),
       unheard_(loop, [this] { Failed("no answer"); }) {}
 Notices::~Notices() = default;
@@ -80,7 +80,7 @@
 }
 
 void Notices::Failed(const char* how) {
-  if (!failing_) log_(std::string("notices: ") + how + ", trying again");
+  if (!failing_) log_.Warn("notices.unheard", {{"how", how}});
   failing_ = true;
   unheard_.Stop();
   out_.clear();
@@ -92,9 +92,9 @@
   if (!n->unheard_.pending()) return;
   const int code = request == nullptr ? 0 : evhttp_request_get_response_code(request);
   if (code == 0) return n->Failed("no connection");
-  if (code == 400) n->log_("notices: a post can't be read there (400)");
+  if (code == 400) n->log_.Error("notices.rejected", {{"answer", code}});
   if (code < 200 || code > 299) return n->Failed("not heard");
-  if (n->failing_) n->log_("notices: heard again");
+  if (n->failing_) n->log_.Info("notices.heard");
   n->failing_ = false;
   n->unheard_.Stop();
   for (const std::uint64_t number : std::exchange(n->out_, {})) {
--- a/src/net/notices.h
+++ b/src/net/notices.h
@@ -10,6 +10,7 @@
 
 #include "config/config.h"
 #include "core/ports.h"
+#include "log/log.h"
 #include "net/loop.h"
 
 namespace sagetally {
@@ -24,8 +25,7 @@
   static Form Batch(std::string path, std::function<std::string(const Message&)> event);  // of CloudEvents
 
   // `heard` is called for each message whose notice was answered with success.
-  Notices(Loop& loop, const Address& to, Form form, std::function<void(std::uint64_t)> heard,
-          std::function<void(const std::string&)> log);
+  Notices(Loop& loop, const Address& to, Form form, std::function<void(std::uint64_t)> heard, Logger& log);
   ~Notices() override;
 
   void Tell(const Message& message) override;
@@ -43,7 +43,7 @@
   Address to_;
   const Form form_;
   std::function<void(std::uint64_t)> heard_;
-  std::function<void(const std::string&)> log_;
+  Logger& log_;
   std::map<std::uint64_t, std::string> waiting_;  // as posted
   std::vector<std::uint64_t> out_;                // in the post that is out
   bool failing_ = false;
--- a/src/net/watch.cpp
+++ b/src/net/watch.cpp
@@ -15,13 +15,13 @@
 }  // namespace
 
 Watch::Watch(Loop& loop, const Address& discovery, const SiteSettings& site, std::int64_t known,
-             std::function<void(const ListNews&)> news, std::function<void(const std::string&)> log)
+             std::function<void(const ListNews&)> news, Logger& log)
     : loop_(loop),
       discovery_(discovery),
       site_(site),
       revision_(known),
       news_(std::move(news)),
-      log_(std::move(log)),
+      log_(log),
       silent_(loop, [this] { Lost("silent"); }),
       again_(loop, [this] { Ask(); }) {
   Ask();
@@ -49,7 +49,7 @@
 }
 
 void Watch::Lost(const char* how) {
-  log_(std::string("discovery: watch lost (") + how + "), asking again after " + std::to_string(revision_));
+  log_.Warn("discovery.lost", {{"how", how}, {"revision", revision_}});
   silent_.Stop();
   again_.After(kAgain);
 }
@@ -78,7 +78,7 @@
     revision_ = news.revision;
     news_(news);
   } catch (const std::exception& e) {
-    log_(std::string("discovery: can't read a line: ") + e.what());
+    log_.Warn("discovery.unreadable", {{"why", e.what()}});
   }
 }
 
--- a/src/net/watch.h
+++ b/src/net/watch.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "config/config.h"
+#include "log/log.h"
 #include "net/loop.h"
 
 namespace sagetally {
@@ -14,7 +15,7 @@
  public:
   // `known`: the version of the list held already.
   Watch(Loop& loop, const Address& discovery, const SiteSettings& site, std::int64_t known,
-        std::function<void(const ListNews&)> news, std::function<void(const std::string&)> log);
+        std::function<void(const ListNews&)> news, Logger& log);
   ~Watch();
 
   std::int64_t revision() const { return revision_; }
@@ -33,7 +34,7 @@
   const SiteSettings& site_;
   std::int64_t revision_;
   std::function<void(const ListNews&)> news_;
-  std::function<void(const std::string&)> log_;
+  Logger& log_;
   simdjson::dom::parser parser_;
   std::string partial_;
   ConnectionPtr connection_;
--- a/src/registry/eureka.cpp
+++ b/src/registry/eureka.cpp
@@ -104,12 +104,11 @@
 }
 
 EurekaClient::EurekaClient(Loop& loop, const EurekaSettings& settings, Instance own,
-                           std::function<void(const Applications&)> changed,
-                           std::function<void(const std::string&)> log)
+                           std::function<void(const Applications&)> changed, Logger& log)
     : settings_(settings),
       own_(std::move(own)),
       changed_(std::move(changed)),
-      log_(std::move(log)),
+      log_(log),
       renew_(loop, [this] { Renew(); }),
       fetch_(loop, [this] { Fetch(); }),
       calls_(loop) {
@@ -128,7 +127,7 @@
 void EurekaClient::Reachable(bool reached) {
   if (reached == !lost_) return;
   lost_ = !reached;
-  log_(lost_ ? "eureka: registry lost, the last list stays" : "eureka: registry back");
+  log_.Warn(lost_ ? "eureka.lost" : "eureka.back");
 }
 
 void EurekaClient::Register() {
@@ -146,7 +145,7 @@
   Ask(EVHTTP_REQ_POST, "/apps/" + own_.app, body, [this](int code, const std::string&) {
     registered_ = code >= 200 && code < 300;
     Reachable(code != 0);
-    if (code != 0 && !registered_) log_("eureka: not registered, answer " + std::to_string(code));
+    if (code != 0 && !registered_) log_.Warn("eureka.not_registered", {{"answer", code}});
     renew_.After(settings_.renew);
   });
 }
@@ -192,7 +191,7 @@
     changed_(applications_);
   } catch (const std::exception& e) {
     fetched_ = false;
-    log_(std::string("eureka: can't read an answer: ") + e.what());
+    log_.Warn("eureka.unreadable", {{"why", e.what()}});
   }
 }
 
--- a/src/registry/eureka.h
+++ b/src/registry/eureka.h
@@ -9,6 +9,7 @@
 #include <string_view>
 
 #include "config/deploy.h"
+#include "log/log.h"
 #include "net/http_calls.h"
 #include "net/loop.h"
 
@@ -36,7 +37,7 @@
  public:
   // `own`: what is registered; an empty id registers nothing. `changed` is called whenever the list differs.
   EurekaClient(Loop& loop, const EurekaSettings& settings, Instance own,
-               std::function<void(const Applications&)> changed, std::function<void(const std::string&)> log);
+               std::function<void(const Applications&)> changed, Logger& log);
   ~EurekaClient();
 
   // Takes this process off the registry; `done` is called once it was heard, or could not be.
@@ -55,7 +56,7 @@
   const EurekaSettings settings_;
   const Instance own_;
   std::function<void(const Applications&)> changed_;
-  std::function<void(const std::string&)> log_;
+  Logger& log_;
   Applications applications_;
   bool fetched_ = false, registered_ = false, lost_ = false, cancelled_ = false;
   Timer renew_, fetch_;
--- a/tests/node/parsers_test.cpp
+++ b/tests/node/parsers_test.cpp
@@ -74,8 +74,13 @@
       {R"({"role":"boss"})", "role"},
       {R"({"role":"planner"})", "cloudevents"},
       {R"({"cloudevents":{}})", "listen"},
-      {R"({"cloudevents":{"listen":"x"}})", "cloudevents.listen"},
-      {R"({"cloudevents":{"listen":"127.0.0.1:1","sink":"y"}})", "cloudevents.sink"},
+      {R"({"cloudevents":{"listen":"x"}})",
+       "/cloudevents/listen: expected an address, such as 127.0.0.1:9080, found \"x\""},
+      {R"({"cloudevents":{"listen":"127.0.0.1:1","more":1}})", "/cloudevents/more: expected one of listen"},
+      {R"({"cloudevents":{"listen":"999.0.0.1:1"}})", "/cloudevents/listen"},
+      {R"({"kept":{"budget_mb":0}})", "/kept/budget_mb: expected a number from 1"},
+      {R"({"kept":{"ends":["lost"]}})", "/kept/ends/0: expected undeliverable or deferred"},
+      {R"({"cloudevents":{"listen":"127.0.0.1:1","sink":"y"}})", "/cloudevents/sink"},
       {R"({"eureka":{"registry":"127.0.0.1:1","renew_ms":0}})", "renew_ms"},
       {"[", "JSON"}};
   for (const auto& [text, key] : table) {
--- a/tests/node/process.sh
+++ b/tests/node/process.sh
@@ -33,7 +33,7 @@
   [ $((($(date +%s%N) - began) / 1000000)) -lt 3700 ]
 }
 config 127.0.0.1:0
-starts "^ready: n0"
+starts " ready name=n0"
 # SIGHUP: a file that can't be used is one line, a good one is taken over, and the process goes on. The file
 # goes before the variables then.
 hears() {
@@ -45,20 +45,38 @@
 }
 BALANCER_DISCOVERY=127.0.0.1:2 "$program" >out 2>err &
 pid=$!
-until grep -q "^ready" out; do sleep 0.02; done
+until grep -q " ready " out; do sleep 0.02; done
 config nowhere
-hears "^reload: listen.*the old configuration stays"
+hears "error reload.refused why=.*listen"
 config 127.0.0.1:0
-hears "^reload: discovery at 127.0.0.1:1"
+hears "reload.done discovery=127.0.0.1:1"
 kill -TERM $pid
 wait $pid
 for role in planner forwarder; do
   cat >deploy/node.json <<JSON
 {"role":"$role","cloudevents":{"listen":"127.0.0.1:0"},"eureka":{"registry":"127.0.0.1:1"}}
 JSON
-  starts "ready"
+  starts " ready "
 done
+fails() { # exit code, what standard error must hold, arguments
+  code=0
+  "$program" $3 >out 2>err || code=$?
+  [ $code = "$1" ] && grep -q "$2" err || { echo "exit $code"; cat err; exit 1; }
+}
 echo '{"role":"boss"}' >deploy/node.json
-if "$program" >out 2>err; then exit 1; fi
-grep -q "role" err
-echo "7 passed, 0 failed"
+fails 1 'deploy/node.json: /role: expected both .*found "boss"' serve
+# A flag goes before the file, an environment variable too, and check-config ends by itself.
+"$program" check-config --role both | grep -q "can be used"
+SAGETALLY_ROLE=both "$program" check-config | grep -q "can be used"
+fails 1 '/cloudevents/listen: expected an address' "check-config --role both --cloudevents.listen nowhere"
+fails 2 'level' "--log-level loud"
+fails 2 'nonsense' nonsense
+"$program" --version | grep -q "^sagetally [0-9]"
+"$program" kept list --help | grep -q -- --filter
+rm deploy/node.json
+"$program" --log-format json >out 2>err &
+pid=$!
+until grep -q '"event":"ready","name":"n0"' out; do sleep 0.02; done
+kill -TERM $pid
+wait $pid
+echo "15 passed, 0 failed"
--- a/tests/node/roles_test.cpp
+++ b/tests/node/roles_test.cpp
@@ -101,10 +101,10 @@
     config.known.endpoints.clear();
     folders.push_back(std::make_unique<Folder>());
     config.state_folder = folders.back()->path;
-    this->planners.push_back(std::make_unique<Dispatcher>(w.loop, config, Deploy(Role::kPlanner)));
+    this->planners.push_back(std::make_unique<Dispatcher>(w.loop, w.log, config, Deploy(Role::kPlanner)));
   }
   void StartForwarder(std::size_t planners_up) {
-    forwarder = std::make_unique<Forwarder>(w.loop, config, Deploy(Role::kForwarder));
+    forwarder = std::make_unique<Forwarder>(w.loop, w.log, config, Deploy(Role::kForwarder));
     Until(w.loop, [&] { return forwarder->planners_up() == planners_up; });
   }
   Ask& Plain(const std::string& id, int destination) {
--- a/tests/node/world.h
+++ b/tests/node/world.h
@@ -269,7 +269,7 @@
     DeployFile deploy;
     deploy.cloudevents = CloudEventsSettings{{"127.0.0.1", 0}, {}, "/results"};
     if (sink) deploy.cloudevents->sink = Address{"127.0.0.1", sink->port()};
-    dispatcher = std::make_unique<Dispatcher>(loop, config, deploy);
+    dispatcher = std::make_unique<Dispatcher>(loop, log, config, deploy);
   }
   // As SIGKILL leaves it: nothing is said or written any more.
   void Kill() { dispatcher.reset(); }
@@ -309,6 +309,7 @@
   }
 
   Loop loop;
+  Logger log;
   Folder folder;
   int slots, most_held, disk_mb = 3, sockets = 256;
   StandInAgent agent{loop};
