--- a/src/app/dispatcher.cpp
+++ b/src/app/dispatcher.cpp
@@ -13,6 +13,9 @@
 constexpr Duration kListenOn = milliseconds(600);
 constexpr Duration kLongestStop = milliseconds(3300);
 
+// Two connections to the store with its log and index, the control socket and its clients.
+constexpr std::size_t kKeptDescriptors = 20;
+
 }  // namespace
 
 Dispatcher::Dispatcher(Loop& loop, Logger& log, const Config& config, const DeployFile& deploy)
@@ -34,12 +37,15 @@
       store_(config_.state_folder, config_.disk_bytes, ledger_),
       pool_(loop_,
             {config_.site.connect_timeout, config_.site.module.connection_idle, config_.site.module.slots + 2,
-             Share(config_, deploy.cloudevents.has_value()).calls},
+             Share(config_, deploy.cloudevents.has_value()).calls - (deploy.kept ? kKeptDescriptors : 0)},
             [this](const CallResult& result) { chain_.relay.Back(result); }),
       notices_(
           loop_, config_.discovery, Notices::Platform(),
           [this](std::uint64_t number) { chain_.book.Heard(number); }, log_),
-      chain_(config_.site, config_.seed, ledger_, store_, pool_, *this, *this, clock_) {
+      kept_(deploy.kept ? std::make_unique<KeptNode>(loop_, log_, config_, *deploy.kept, ledger_, clock_)
+                        : nullptr),
+      chain_(config_.site, config_.seed, ledger_, store_, pool_, *this, *this, clock_,
+             kept_ ? kept_->keep() : nullptr) {
   log_.Info("store.read", {{"note", store_.note()}});
   if (deploy.cloudevents && deploy.cloudevents->sink) {
     results_ = std::make_unique<Notices>(
@@ -50,6 +56,7 @@
   }
   peers_ = std::make_unique<Peers>(loop_, config_, [this](const PeerNote& n) { chain_.route.Add(n); });
   chain_.route.Listed(config_.known);
+  if (kept_) kept_->Start(chain_, store_.fresh());
   chain_.Resume();
   front_ = std::make_unique<PlatformFront>(config_.site, chain_.intake);
   if (!deploy.eureka) {
@@ -121,6 +128,7 @@
   stopping_ = true;
   log_.Info("stopping", {{"held", ledger_.held()}});
   chain_.admit.Stop();
+  if (kept_) kept_->Stop();
   chain_.route.Add(Stopping{kLongestStop - milliseconds(100)});
   for (Server* server : {server_.get(), events_.get()}) {
     if (server != nullptr) server->CloseBetweenRequests();
@@ -135,8 +143,12 @@
   if (config.peer_listen != config_.peer_listen) {
     throw std::runtime_error("peer_listen can't change while the process runs");
   }
+  // All that may fail comes before anything is taken over.
+  std::optional<KeptNode::NewRules> rules;
+  if (kept_) rules = kept_->ReadNewRules();
   const bool moved =
       config.discovery.host != config_.discovery.host || config.discovery.port != config_.discovery.port;
+  if (rules) kept_->Use(std::move(*rules));
   config_.peers = config.peers;
   config_.peers_all = config.peers_all;
   config_.discovery = config.discovery;
--- a/src/app/dispatcher.h
+++ b/src/app/dispatcher.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 
+#include "app/kept_node.h"
 #include "clock/clock.h"
 #include "config/config.h"
 #include "config/deploy.h"
@@ -32,6 +33,7 @@
   // As SIGHUP asks for it: takes over what may change under way, all of it or, by throwing, nothing.
   void Reload(const Config& config);
   std::uint16_t port() const { return server_ ? server_->port() : 0; }
+  KeptNode* kept() { return kept_.get(); }
   std::uint16_t events_port() const { return events_ ? events_->port() : 0; }
 
   void StepSoon() override { step_.After(Duration(0)); }
@@ -55,6 +57,7 @@
   EndpointPool pool_;
   Notices notices_;
   std::unique_ptr<Notices> results_;  // to the sink of events
+  std::unique_ptr<KeptNode> kept_;    // null: undeliverable messages are not kept
   Chain chain_;
   std::unique_ptr<Peers> peers_;
   std::unique_ptr<PlatformFront> front_;
--- /dev/null
+++ b/src/app/kept_node.h
@@ -0,0 +1,60 @@
+// Kept messages within a dispatcher: the keeper, the store's threads, the control socket.
+#ifndef SAGETALLY_SRC_APP_KEPT_NODE_H_
+#define SAGETALLY_SRC_APP_KEPT_NODE_H_
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "clock/clock.h"
+#include "config/config.h"
+#include "config/deploy.h"
+#include "kept/keeper.h"
+#include "kept/operations.h"
+#include "net/control.h"
+#include "net/loop.h"
+#include "stages/chain.h"
+#include "store/store.h"
+
+namespace sagetally {
+
+class KeptNode {
+ public:
+  // Throws std::runtime_error naming the file and place at fault in the rules.
+  KeptNode(Loop& loop, Logger& log, const Config& config, const KeptSettings& settings, Ledger& ledger,
+           const Clock& clock);
+  ~KeptNode();
+
+  Keep* keep() { return &keeper_; }
+  void Start(Chain& chain, bool journal_lost);
+  void Stop() { keeper_.Stop(); }
+  // The rules as their file says now, not yet in use. Throws as the constructor does.
+  struct NewRules {
+    std::shared_ptr<const kept::RuleSet> rules;
+    std::string text;
+  };
+  NewRules ReadNewRules() const;
+  void Use(NewRules rules);
+  kept::Keeper& keeper() { return keeper_; }
+
+ private:
+  class Bell;  // rung by the store's threads
+  void Asked(std::string_view line, const ControlServer::Answer& answer);
+  nlohmann::json Status() const;
+
+  Logger& log_;
+  const KeptSettings settings_;
+  const std::vector<std::string> classes_;
+  const Clock& clock_;
+  const std::string folder_, socket_path_;
+  Loop& loop_;
+  std::unique_ptr<Bell> bell_;
+  std::unique_ptr<kept::Worker> worker_, reader_;  // reading never makes taking over wait
+  Timer wake_;
+  kept::Keeper keeper_;
+  std::unique_ptr<ControlServer> control_;
+};
+
+}  // namespace sagetally
+
+#endif  // SAGETALLY_SRC_APP_KEPT_NODE_H_
--- /dev/null
+++ b/src/cli/kept.h
@@ -0,0 +1,16 @@
+// `sagetally kept ...`: asks the running node by its control socket, or reads the file of a stopped one.
+#ifndef SAGETALLY_SRC_CLI_KEPT_H_
+#define SAGETALLY_SRC_CLI_KEPT_H_
+
+#include <ostream>
+
+#include "cli/options.h"
+
+namespace sagetally {
+
+// Returns the exit code. Throws std::runtime_error saying what failed.
+int RunKept(const KeptOptions& kept, const Options& options, std::ostream& out, std::ostream& progress);
+
+}  // namespace sagetally
+
+#endif  // SAGETALLY_SRC_CLI_KEPT_H_
--- /dev/null
+++ b/src/clock/clock.cpp
@@ -0,0 +1,25 @@
+#include "clock/clock.h"
+
+#include <algorithm>
+#include <charconv>
+#include <fstream>
+#include <string>
+
+namespace sagetally {
+
+SystemClock::SystemClock() {
+  // The kernel's own name for this start of the machine: 16 of its hexadecimal digits.
+  std::ifstream file("/proc/sys/kernel/random/boot_id");
+  std::string text;
+  std::getline(file, text);
+  std::erase(text, '-');
+  text.resize(std::min<std::size_t>(text.size(), 16));
+  std::from_chars(text.data(), text.data() + text.size(), boot_, 16);
+}
+
+Moment SystemClock::Stamp() const {
+  const auto steady = std::chrono::steady_clock::now().time_since_epoch();
+  return {Now(), std::chrono::duration_cast<Duration>(steady), boot_};
+}
+
+}  // namespace sagetally
--- a/src/clock/clock.h
+++ b/src/clock/clock.h
@@ -4,26 +4,39 @@
 #define SAGETALLY_SRC_CLOCK_CLOCK_H_
 
 #include <chrono>
+#include <cstdint>
 
 #include "sagetally/sender.h"
 
 namespace sagetally {
 
+// A moment by both clocks: the wall's may have been set anew between two processes, the machine's steady one
+// can't be, but counts from the machine's start.
+struct Moment {
+  Time wall{0}, steady{0};
+  std::uint64_t boot = 0;  // which start of the machine; 0: not known
+  bool operator==(const Moment&) const = default;
+};
+
 class Clock {
  public:
   virtual ~Clock() = default;
   virtual Time Now() const = 0;
+  virtual Moment Stamp() const { return {Now(), Time(0), 0}; }
 };
 
 class SystemClock : public Clock {
  public:
+  SystemClock();
   Time Now() const override {
     return wall_ + std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() - steady_);
   }
+  Moment Stamp() const override;
 
  private:
   std::chrono::steady_clock::time_point steady_ = std::chrono::steady_clock::now();
   Time wall_ = std::chrono::duration_cast<Duration>(std::chrono::system_clock::now().time_since_epoch());
+  std::uint64_t boot_ = 0;
 };
 
 }  // namespace sagetally
--- a/src/config/deploy.cpp
+++ b/src/config/deploy.cpp
@@ -59,6 +59,7 @@
     k.undeliverable = k.deferred = false;
     for (const Json& end : part["ends"]) (end == "deferred" ? k.deferred : k.undeliverable) = true;
   }
+  k.resend_deferred = part.value("resend_deferred", false);
   k.budget_bytes = static_cast<std::size_t>(part.value("budget_mb", 64.0) * 1e6);
   k.age = Duration(static_cast<std::int64_t>(part.value("age_hours", 720.0) * 3600e6));
   k.owed_bytes = static_cast<std::size_t>(part.value("owed_mb", 1.0) * 1e6);
--- a/src/config/deploy.h
+++ b/src/config/deploy.h
@@ -35,6 +35,7 @@
   std::string folder;      // empty: "kept" in the state folder
   std::string rules_path;  // empty: no rules
   bool undeliverable = true, deferred = false;
+  bool resend_deferred = false;  // clients do not hand in again what was deferred
   std::size_t budget_bytes = 64'000'000;
   Duration age = std::chrono::hours(24 * 30);
   std::size_t owed_bytes = 1'000'000;
--- a/src/core/ledger.cpp
+++ b/src/core/ledger.cpp
@@ -12,7 +12,7 @@
   by_id_[Identity(message.request)] = number;
   held_ += message.end == End::kNone ? 1 : 0;
   Message& added = messages_.insert_or_assign(number, std::move(message)).first->second;
-  if (added.end != End::kNone) remembered_.emplace_back(added.ended_at, number);
+  if (added.end != End::kNone && !added.kept_owed) remembered_.emplace_back(added.ended_at, number);
   return added;
 }
 
@@ -38,13 +38,21 @@
   message.end = end;
   message.again = again;
   message.ended_at = now;
-  message.notice_owed = end == End::kFailed || end == End::kRefused;
+  // A resend has no client that waits: its message ended once, before.
+  message.notice_owed = (end == End::kFailed || end == End::kRefused) && message.kept_as == 0;
   --held_;
-  if (Remembers(message)) remembered_.emplace_back(now, message.number);
+  if (Remembers(message) && !message.kept_owed) remembered_.emplace_back(now, message.number);
+}
+
+void Ledger::Kept(Message& message) {
+  if (!message.kept_owed) return;
+  message.kept_owed = false;
+  if (Remembers(message)) remembered_.emplace_back(message.ended_at, message.number);
+  Settle(message);
 }
 
 void Ledger::Settle(Message& message) {
-  if (message.end == End::kNone || message.out || !message.answered) return;
+  if (message.end == End::kNone || message.out || !message.answered || message.kept_owed) return;
   if (Remembers(message)) {
     message.request.body = std::string();  // only its answer is wanted any more
     return;
--- a/src/core/ledger.h
+++ b/src/core/ledger.h
@@ -2,6 +2,7 @@
 #ifndef SAGETALLY_SRC_CORE_LEDGER_H_
 #define SAGETALLY_SRC_CORE_LEDGER_H_
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <string>
@@ -25,6 +26,10 @@
   const std::map<std::uint64_t, Message>& messages() const { return messages_; }
 
   void End(Message& message, enum End end, Duration again, Time now);
+  // The store of kept messages has it, or never will.
+  void Kept(Message& message);
+  // No number below this is given out any more.
+  void StartAt(std::uint64_t number) { next_ = std::max(next_, number); }
   // Lets an ended message go once no call is out for it and its end is neither owed nor remembered.
   void Settle(Message& message);
   void Remove(std::uint64_t number);
--- a/src/core/ports.h
+++ b/src/core/ports.h
@@ -18,6 +18,7 @@
   virtual void Outcame(const Message& message, Outcome outcome) = 0;
   virtual void Ended(const Message& message) = 0;
   virtual void Told(const Message& message) = 0;  // its notice was heard
+  virtual void Kept(const Message&) {}            // the store of kept messages has it
 };
 
 class Caller {  // calls to endpoints; each Call gets one CallResult, later
@@ -36,6 +37,20 @@
   virtual void Tell(const Message& message) = 0;
 };
 
+class Keep {  // takes over messages that ended undelivered; without one nothing is kept
+ public:
+  virtual ~Keep() = default;
+  virtual void Taken(const Message& message) = 0;  // from a client, on record
+  // Whether a message that was kept is being sent again, of which this is another copy.
+  virtual bool BeingResent(const Request& request) const = 0;
+  virtual void CallEnded(const Message& message, const CallResult& result) = 0;
+  // Before a message's end goes on record: sets its reason, and whether it is owed to the store.
+  virtual void Ending(Message& message, enum End end) = 0;
+  virtual void Owed(const Message& message) = 0;  // it has ended, no call is out, its client knows
+  // After a restart: whether a message may still be sent.
+  virtual bool MayGoOn(const Message& message) = 0;
+};
+
 class Host {  // the loop that the core runs in
  public:
   virtual ~Host() = default;
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "clock/clock.h"
 #include "sagetally/sender.h"
 
 namespace sagetally {
@@ -28,6 +29,28 @@
 
 enum class End : std::uint8_t { kNone = 0, kDelivered = 1, kFailed = 2, kRefused = 3, kOver = 4 };
 
+// Why a message ended undelivered, for those who look into it later.
+enum class Reason : std::uint8_t {
+  kNone = 0,
+  kAttemptsUsedUp = 1,
+  kOutOfTimeUnsent = 2,
+  kOutOfTimeAfterCalls = 3,
+  kRefusedToTheEnd = 4,    // every call was turned away
+  kMayNotBeRepeated = 5,   // may have run, and a repeat would take effect twice
+  kRepeatWindowOver = 6,   // may have run, and the destination no longer drops a repeat
+  kRestart = 7,            // its call was out when the process ended, and may not be repeated
+  kShed = 8,               // given up in favour of others
+  kForbiddenOnRestart = 9  // the resend judge forbids to go on with it
+};
+
+struct AttemptNote {  // one attempt in a message's history, kept where messages are kept
+  Moment sent;
+  std::string endpoint = {};
+  std::optional<Outcome> outcome = {};  // none: out, or cut off by the end of the process
+  Duration told_wait{0};
+  bool operator==(const AttemptNote&) const = default;
+};
+
 struct Message {  // a request taken on, and all that is owed for it
   std::uint64_t number = 0;
   Request request = {};
@@ -43,6 +66,14 @@
   Time ended_at{0};
   bool notice_owed = false;  // the end has still to be told
   bool answered = true;      // its client knows that it was taken, or refused
+  // Only where undeliverable messages are kept.
+  Time taken_at{0};
+  std::vector<AttemptNote> history = {};
+  Reason reason = Reason::kNone;
+  bool kept_owed = false;      // the store of kept messages has still to take it over
+  std::uint64_t kept_as = 0;   // it sends again what is kept under this number
+  std::int32_t kept_life = 0;  // ... in this of its lives
+  std::string kept_node = {};  // ... which this node kept
 };
 
 enum class Verdict { kTaken, kRefused, kStopping, kInvalid };
--- /dev/null
+++ b/src/kept/files.h
@@ -0,0 +1,27 @@
+// Where the store and its control socket are, and how rule files are read.
+#ifndef SAGETALLY_SRC_KEPT_FILES_H_
+#define SAGETALLY_SRC_KEPT_FILES_H_
+
+#include <string>
+
+#include "config/config.h"
+#include "config/deploy.h"
+#include "kept/keeper.h"
+
+namespace sagetally::kept {
+
+std::string FolderOf(const KeptSettings& settings, const std::string& state_folder);
+std::string DatabasePath(const std::string& folder);
+std::string SocketPath(const std::string& state_folder);
+Database::Settings DatabaseSettings(const KeptSettings& settings, const std::string& folder);
+ReviewSettings ReviewFrom(const SiteSettings& site, const KeptSettings& settings);
+Keeper::Settings KeeperFrom(const Config& config, const KeptSettings& settings);
+// The whole file. Throws std::runtime_error naming it.
+std::string ReadText(const std::string& path);
+// Throws std::runtime_error: "FILE: line 3, column 7: expected ..."
+std::shared_ptr<const RuleSet> ReadRules(const std::string& path, const std::vector<std::string>& classes,
+                                         std::string* text = nullptr);
+
+}  // namespace sagetally::kept
+
+#endif  // SAGETALLY_SRC_KEPT_FILES_H_
--- /dev/null
+++ b/src/kept/keeper.h
@@ -0,0 +1,137 @@
+// The keeper: takes ended messages over into the store, lets rules send them again beside live traffic, and
+// takes the results back. It lives on the loop; the store works elsewhere.
+#ifndef SAGETALLY_SRC_KEPT_KEEPER_H_
+#define SAGETALLY_SRC_KEPT_KEEPER_H_
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_set>
+#include <vector>
+
+#include "core/ledger.h"
+#include "core/ports.h"
+#include "kept/planner.h"
+#include "kept/storage/worker.h"
+#include "log/log.h"
+
+namespace sagetally::kept {
+
+// Names the message behind a request over all its hand-ins: an event, or a key within class and destination;
+// 0 if nothing does.
+std::uint64_t IdentityOf(const Request& request);
+
+class Keeper : public Keep {
+ public:
+  struct Settings {
+    std::string node;
+    ReviewSettings review;
+    ResendPlanner::Limits limits;
+    bool undeliverable = true, deferred = false;
+    std::size_t owed_bytes = 1'000'000;
+    std::uint64_t seed = 0;
+  };
+  struct Chain {  // the stages, as far as needed
+    std::function<bool(Message)> take_again;
+    std::function<bool(int destination)> up;
+    std::function<void(std::uint64_t number)> kept;
+  };
+  struct Counters {
+    std::int64_t kept = 0, owed_dropped = 0, evicted = 0, transfers_failed = 0, resends = 0, delivered = 0,
+                 kept_again = 0, handed_in_again = 0, stores_begun_anew = 0;
+  };
+
+  // `wake_after`: calls Turn after that time; a new call replaces the last.
+  Keeper(Settings settings, Jobs& jobs, Ledger& ledger, const Clock& clock, Logger& log,
+         std::function<void(Duration)> wake_after);
+
+  // `journal_lost`: the journal was empty at the start. Resends begin once the store was reconciled.
+  void Start(Chain chain, bool journal_lost);
+  void Stop() { stopping_ = true; }
+  // New rules; their text names them.
+  void SetRules(std::shared_ptr<const RuleSet> rules, const std::string& text);
+  void Turn();
+  // By an operator's hand something became due.
+  void LookAgain();
+
+  const Counters& counters() const { return counters_; }
+  std::size_t owed() const { return owed_.size() + in_transfer_.size(); }
+  int resends_out() const { return planner_.out(); }
+  bool store_failing() const { return failures_ > 0; }
+  const ReviewSettings& review() const { return settings_.review; }
+
+  void Taken(const Message& message) override;
+  bool BeingResent(const Request& request) const override;
+  void CallEnded(const Message& message, const CallResult& result) override;
+  void Ending(Message& message, enum End end) override;
+  void Owed(const Message& message) override;
+  bool MayGoOn(const Message& message) override;
+
+ private:
+  struct Waiting {
+    std::uint64_t number = 0;
+    std::size_t bytes = 0;
+    double worth = 0;
+    bool resent = false;
+    Time not_before{0};
+  };
+  const std::string& ClassName(const Message& message) const;
+  double WorthOf(const Message& message) const;
+  Database::Entry EntryOf(const Message& message, const Waiting& waiting) const;
+  void DropOwed();
+  void Reconcile();
+  void Transfer();
+  void Transferred(const JobError* error, const Database::Evicted& evicted);
+  void TellHandedIn();
+  void Fetch();
+  void Fetched(const JobError* error, Database::Candidates due);
+  void Claim(std::vector<Database::Candidate> granted);
+  void Claimed(const Database::Candidate& candidate, std::optional<KeptMessage> kept);
+  void GiveBack(const Id& id, int destination, Time not_before);
+  void Failed(const JobError& error);
+  void WakeAt(Time at);
+  ResendPlanner::Load Load() const;
+
+  const Settings settings_;
+  Jobs& jobs_;
+  Ledger& ledger_;
+  const Clock& clock_;
+  Logger& log_;
+  std::function<void(Duration)> wake_after_;
+  Chain chain_;
+  ResendPlanner planner_;
+  Counters counters_;
+
+  std::deque<Waiting> owed_;
+  std::vector<Waiting> in_transfer_;
+  std::set<std::uint64_t> known_owed_;
+  std::size_t owed_bytes_ = 0;
+  int failures_ = 0;  // jobs in a row
+  Time retry_at_{0};
+
+  bool started_ = false, reconciled_ = false, reconciling_ = false, stopping_ = false, lost_ = false;
+  std::shared_ptr<const RuleSet> rules_, next_rules_;
+  std::uint64_t next_hash_ = 0;
+  std::int64_t generation_ = 0;
+  bool fetching_ = false;
+  int claiming_ = 0;
+  Time fetch_at_{0};
+  std::map<int, Time> blocked_;  // destinations, until
+  std::map<std::string, Database::Pace> paces_;
+
+  std::unordered_set<std::uint64_t> identities_;  // of all that may be sent again
+  struct HandedIn {
+    std::uint64_t identity = 0, number = 0;
+  };
+  std::vector<HandedIn> handed_in_;  // to be told to the store
+  bool telling_ = false;
+  std::multiset<std::uint64_t> resending_;
+  std::set<std::uint64_t> forbidden_;  // numbers, while a restart ends them
+};
+
+}  // namespace sagetally::kept
+
+#endif  // SAGETALLY_SRC_KEPT_KEEPER_H_
--- /dev/null
+++ b/src/kept/operations.h
@@ -0,0 +1,50 @@
+// What operators ask of the store, as JSON in and out: the same answers by a running node's control socket
+// and on the file of one that is stopped. The protocol is docs/kept.md, "The control socket".
+#ifndef SAGETALLY_SRC_KEPT_OPERATIONS_H_
+#define SAGETALLY_SRC_KEPT_OPERATIONS_H_
+
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "kept/storage/database.h"
+
+namespace sagetally::kept {
+
+inline constexpr int kControlVersion = 1;
+inline constexpr std::size_t kMostRequest = 512 * 1024;  // bytes of one request
+inline constexpr int kMostPage = 1000, kMostBodies = 50;
+
+struct Operation {
+  enum class Kind { kStatus, kList, kShow, kStats, kTry, kAct };
+  Kind kind = Kind::kStatus;
+  Condition filter;         // kList, kAct
+  std::optional<Id> after;  // kList, kTry: of the last page
+  std::int64_t cursor = 0;  // kAct
+  int limit = 50;
+  bool with_body = false;                     // kList, kShow
+  Id id;                                      // kShow
+  std::string by = "reason";                  // kStats
+  RuleSet rules;                              // kTry
+  Action::Kind action = Action::Kind::kHold;  // kAct
+  bool only_count = false;                    // kAct
+
+  bool Writes() const { return kind == Kind::kAct && !only_count; }
+};
+
+// Throws std::runtime_error saying what is wrong with the request.
+Operation ReadOperation(std::string_view line, const std::vector<std::string>& classes);
+
+// `review`: of the running node, or read from its configuration; kTry and kAct need it.
+nlohmann::json Perform(const Operation& operation, Database& database, const ReviewSettings* review,
+                       const Moment& now);
+
+// One line each, without its end.
+std::string OkLine(nlohmann::json result);
+std::string ErrorLine(std::string_view why);
+
+}  // namespace sagetally::kept
+
+#endif  // SAGETALLY_SRC_KEPT_OPERATIONS_H_
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -5,7 +5,9 @@
 
 #include "app/dispatcher.h"
 #include "app/forwarder.h"
+#include "cli/kept.h"
 #include "cli/options.h"
+#include "kept/files.h"
 
 namespace sagetally {
 namespace {
@@ -47,6 +49,8 @@
 void CheckConfig(const Options& options) {
   const DeployFile deploy = options.ReadNode();
   const Config config = options.ReadConfiguration(NeedsOf(deploy));
+  if (deploy.kept && !deploy.kept->rules_path.empty())
+    kept::ReadRules(deploy.kept->rules_path, config.site.classes);
   std::cout << "configuration can be used: node " << config.name << "\n";
 }
 
@@ -66,7 +70,7 @@
         CheckConfig(line.options);
         return 0;
       case CommandLine::Command::kKept:
-        return 1;
+        return RunKept(line.kept, line.options, std::cout, std::cerr);
       case CommandLine::Command::kServe:
         Serve(line.options);
         return 0;
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -33,7 +33,7 @@
 constexpr std::size_t kMostLinger = 128 * 1024;
 constexpr Duration kListenAgain = milliseconds(50);
 
-const char* Reason(int code) {
+const char* ReasonPhrase(int code) {
   const auto text = http::obsolete_reason(static_cast<http::status>(code));
   return text.empty() ? "Other" : text.data();
 }
@@ -82,7 +82,7 @@
   }
   void Answer(int code, const std::string& body, const Exchange::Headers& headers) {
     const bool last = server_.closing_ || !keep_ || ended_;
-    std::string text = "HTTP/1.1 " + std::to_string(code) + " " + Reason(code) + "\r\n";
+    std::string text = "HTTP/1.1 " + std::to_string(code) + " " + ReasonPhrase(code) + "\r\n";
     for (const auto& [name, value] : headers) text += name + ": " + value + "\r\n";
     if (last) text += "Connection: close\r\n";
     if (code != 204) text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
@@ -181,7 +181,7 @@
   void Refuse(int code) {
     parser_.reset();
     asked_ = refused_ = true;
-    const std::string text = "HTTP/1.1 " + std::to_string(code) + " " + Reason(code) +
+    const std::string text = "HTTP/1.1 " + std::to_string(code) + " " + ReasonPhrase(code) +
                              "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
     bufferevent_write(buffers_.get(), text.data(), text.size());
     CloseOnceWritten();
--- a/src/stages/admit.cpp
+++ b/src/stages/admit.cpp
@@ -21,6 +21,7 @@
     message.deadline = now + request.time_left;
     message.request = std::move(request);
     message.answered = false;
+    if (keep_ != nullptr) message.taken_at = now;
     const Message& added = ledger_.Add(std::move(message));
     taken.push_back(&added);
     waiting.numbers.push_back(added.number);
@@ -33,11 +34,26 @@
     reply({Verdict::kRefused, Duration(0), "no room on disk"});
     return;
   }
-  for (const Message* message : taken) route_.Taken(*message);
+  for (const Message* message : taken) {
+    if (keep_ != nullptr) keep_->Taken(*message);
+    route_.Taken(*message);
+  }
   waiting.reply = std::move(reply);
   waiting_.push_back(std::move(waiting));
 }
 
+bool Admit::TakeAgain(Message message) {
+  if (stopping_ || ledger_.held() >= most_held_) return false;
+  const Message& added = ledger_.Add(std::move(message));
+  const Message* one[] = {&added};
+  if (!journal_.Taken(one)) {
+    ledger_.Remove(added.number);
+    return false;
+  }
+  route_.Taken(added);
+  return true;
+}
+
 void Admit::AnswerTaken() {
   for (Waiting& waiting : std::exchange(waiting_, {})) {
     Message* only = waiting.numbers.size() == 1 ? ledger_.Find(waiting.numbers.front()) : nullptr;
@@ -53,6 +69,7 @@
         route_.Withdrawn(*m);
         book_.End(*m, End::kOver);
       } else if (m->notice_owed && (refused || !heard)) {
+        book_.Kept(number);  // the client knows its end, or hands it in anew: nothing to keep
         book_.Heard(number);
       } else {
         book_.Tell(*m);
--- a/src/stages/admit.h
+++ b/src/stages/admit.h
@@ -19,15 +19,19 @@
 
 class Admit {
  public:
-  Admit(Ledger& ledger, Journal& journal, Route& route, Book& book, const Clock& clock, int most_held)
+  Admit(Ledger& ledger, Journal& journal, Route& route, Book& book, const Clock& clock, int most_held,
+        Keep* keep)
       : ledger_(ledger),
         journal_(journal),
         route_(route),
         book_(book),
         clock_(clock),
-        most_held_(most_held) {}
+        most_held_(most_held),
+        keep_(keep) {}
 
   void Take(std::vector<Request> requests, Reply reply);
+  // A kept message that is sent again, with its history and no client; false if there is no room for it.
+  bool TakeAgain(Message message);
   // After each step: answers what was taken in before it.
   void AnswerTaken();
   void Stop() { stopping_ = true; }
@@ -44,6 +48,7 @@
   Book& book_;
   const Clock& clock_;
   const int most_held_;
+  Keep* keep_;  // may be null
   bool stopping_ = false;
   std::vector<Waiting> waiting_;
 };
--- a/src/stages/book.cpp
+++ b/src/stages/book.cpp
@@ -6,6 +6,7 @@
 
 void Book::End(Message& message, enum End end, Duration again) {
   if (message.end != End::kNone) return;
+  if (keep_ != nullptr) keep_->Ending(message, end);
   ledger_.End(message, end, again, clock_.Now());
   journal_.Ended(message);
   if (message.answered) Tell(message);
@@ -13,9 +14,23 @@
 
 void Book::Tell(Message& message) {
   if (message.notice_owed) teller_.Tell(message);
+  Owe(message);
+}
+
+void Book::Owe(Message& message) {
+  if (message.kept_owed && message.end != End::kNone && message.answered && !message.out) {
+    keep_->Owed(message);
+  }
   ledger_.Settle(message);
 }
 
+void Book::Kept(std::uint64_t number) {
+  Message* message = ledger_.Find(number);
+  if (message == nullptr || !message->kept_owed) return;
+  journal_.Kept(*message);
+  ledger_.Kept(*message);
+}
+
 void Book::NobodyToTell(std::uint64_t number) {
   if (Message* message = ledger_.Find(number)) message->notice_owed = false;
 }
@@ -31,7 +46,7 @@
 void Book::TellAgain() {
   std::vector<std::uint64_t> owed;
   for (const auto& [number, message] : ledger_.messages()) {
-    if (message.notice_owed) owed.push_back(number);
+    if (message.notice_owed || message.kept_owed) owed.push_back(number);
   }
   for (const std::uint64_t number : owed) {
     Tell(*ledger_.Find(number));
--- a/src/stages/book.h
+++ b/src/stages/book.h
@@ -10,13 +10,15 @@
 
 class Book {
  public:
-  Book(Ledger& ledger, Journal& journal, Teller& teller, const Clock& clock)
-      : ledger_(ledger), journal_(journal), teller_(teller), clock_(clock) {}
+  Book(Ledger& ledger, Journal& journal, Teller& teller, const Clock& clock, Keep* keep)
+      : ledger_(ledger), journal_(journal), teller_(teller), clock_(clock), keep_(keep) {}
 
   void End(Message& message, enum End end, Duration again = Duration(0));
   void Tell(Message& message);              // its end, if a notice is owed; then lets it go
   void Heard(std::uint64_t number);         // a notice arrived
   void NobodyToTell(std::uint64_t number);  // from within Tell: its end has no hearer
+  void Owe(Message& message);               // to the store of kept messages, if it is; else lets it go
+  void Kept(std::uint64_t number);          // the store has it, or never will
   void TellAgain();                         // after a restart: all that is owed
 
  private:
@@ -24,6 +26,7 @@
   Journal& journal_;
   Teller& teller_;
   const Clock& clock_;
+  Keep* keep_;  // may be null
 };
 
 }  // namespace sagetally
--- a/src/stages/chain.h
+++ b/src/stages/chain.h
@@ -13,20 +13,30 @@
 
 struct Chain {
   Chain(const SiteSettings& site, std::uint64_t seed, Ledger& ledger, Journal& journal, Caller& caller,
-        Teller& teller, Host& host, const Clock& clock)
+        Teller& teller, Host& host, const Clock& clock, Keep* keep = nullptr)
       : ledger(ledger),
-        book(ledger, journal, teller, clock),
-        send(ledger, journal, caller, clock),
+        keep(keep),
+        book(ledger, journal, teller, clock, keep),
+        send(ledger, journal, caller, clock, keep != nullptr),
         route(Sender(site.module, seed), ledger, send, book, caller, host, clock),
-        relay(ledger, journal, route, book, clock),
-        admit(ledger, journal, route, book, clock, site.module.most_held),
-        intake(site, ledger, route, admit) {}
+        relay(ledger, journal, route, book, clock, keep),
+        admit(ledger, journal, route, book, clock, site.module.most_held, keep),
+        intake(site, ledger, route, admit, keep) {}
 
   // After a restart: every message still owed goes to the module with its history, and every end not yet
   // heard is told again. The list of endpoints must be known by then.
   void Resume() {
+    std::vector<std::uint64_t> forbidden;
     for (const auto& [number, message] : ledger.messages()) {
-      if (message.end == End::kNone) route.Taken(message);
+      if (message.end != End::kNone) continue;
+      if (keep != nullptr && !keep->MayGoOn(message)) {
+        forbidden.push_back(number);
+      } else {
+        route.Taken(message);
+      }
+    }
+    for (const std::uint64_t number : forbidden) {
+      book.End(*ledger.Find(number), End::kFailed);
     }
     book.TellAgain();
   }
@@ -37,6 +47,7 @@
   }
 
   Ledger& ledger;
+  Keep* keep;  // may be null
   Book book;
   SendStage send;
   Route route;
--- a/src/stages/intake.cpp
+++ b/src/stages/intake.cpp
@@ -30,7 +30,12 @@
       reply({Verdict::kRefused, Duration(0), "no endpoint of this destination is known"});
       return;
     }
-    // Held, or ended in remembered time: the same answer and no second message. After a refusal it is new.
+    // Guards against a second copy beside the one that is being sent again. Then: held, or ended in
+    // remembered time: the same answer and no second message. After a refusal it is new.
+    if (keep_ != nullptr && keep_->BeingResent(request)) {
+      reply({Verdict::kRefused, std::chrono::seconds(1), "a kept copy of it is being sent again"});
+      return;
+    }
     const Message* known = ledger_.FindSame(request);
     if (known != nullptr && known->end != End::kRefused) continue;
     if (ids.insert(request.id).second) fresh.push_back(std::move(request));
--- a/src/stages/intake.h
+++ b/src/stages/intake.h
@@ -16,8 +16,8 @@
   static constexpr std::size_t kMostName = 512;  // of an id or key
   static constexpr int kMostDestination = 1'000'000;
 
-  Intake(const SiteSettings& site, Ledger& ledger, const Route& route, Admit& admit)
-      : site_(site), ledger_(ledger), route_(route), admit_(admit) {}
+  Intake(const SiteSettings& site, Ledger& ledger, const Route& route, Admit& admit, Keep* keep)
+      : site_(site), ledger_(ledger), route_(route), admit_(admit), keep_(keep) {}
 
   // All of them are taken, or none is.
   void Take(std::vector<Request> requests, Reply reply);
@@ -30,6 +30,7 @@
   Ledger& ledger_;
   const Route& route_;
   Admit& admit_;
+  Keep* keep_;  // may be null
 };
 
 }  // namespace sagetally
--- a/src/stages/relay.cpp
+++ b/src/stages/relay.cpp
@@ -13,6 +13,11 @@
     m.may_have_run = m.out_since;
     m.may_have_run_at = m.out_at;
   }
+  if (!m.history.empty()) {
+    m.history.back().outcome = result.outcome;
+    m.history.back().told_wait = result.told_wait;
+  }
+  if (keep_ != nullptr) keep_->CallEnded(m, result);
   AttemptEnded e;
   e.id = ModuleId(m.number);
   e.attempt = m.attempts - 1;
@@ -23,7 +28,7 @@
   if (m.end != End::kNone) {  // ended while the call was out
     e.finished = true;
     route_.Add(std::move(e));
-    return ledger_.Settle(m);
+    return book_.Owe(m);
   }
   if (result.outcome == Outcome::kOk || result.over) {
     e.finished = true;
--- a/src/stages/relay.h
+++ b/src/stages/relay.h
@@ -12,8 +12,8 @@
 
 class Relay {
  public:
-  Relay(Ledger& ledger, Journal& journal, Route& route, Book& book, const Clock& clock)
-      : ledger_(ledger), journal_(journal), route_(route), book_(book), clock_(clock) {}
+  Relay(Ledger& ledger, Journal& journal, Route& route, Book& book, const Clock& clock, Keep* keep)
+      : ledger_(ledger), journal_(journal), route_(route), book_(book), clock_(clock), keep_(keep) {}
 
   void Back(const CallResult& result);
 
@@ -23,6 +23,7 @@
   Route& route_;
   Book& book_;
   const Clock& clock_;
+  Keep* keep_;  // may be null
 };
 
 }  // namespace sagetally
--- a/src/stages/route.cpp
+++ b/src/stages/route.cpp
@@ -1,5 +1,6 @@
 #include "stages/route.h"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -18,7 +19,9 @@
   e.kind = news.whole ? ListChanged::Kind::kWhole : ListChanged::Kind::kChanges;
   e.saved = news.saved;
   std::set<std::string> gone;
-  if (news.whole) gone = std::exchange(endpoints_, {});
+  if (news.whole) {
+    for (const auto& [name, named] : std::exchange(endpoints_, {})) gone.insert(name);
+  }
   for (const EndpointNews& endpoint : news.endpoints) {
     const std::string& name = endpoint.entry.endpoint;
     gone.erase(name);
@@ -26,7 +29,7 @@
       endpoints_.erase(name);
       gone.insert(name);
     } else {
-      endpoints_.insert(name);
+      endpoints_[name] = {endpoint.entry.destination, endpoint.entry.state == EndpointEntry::State::kUp};
       caller_.Learn(endpoint);
     }
     destinations_.insert(endpoint.entry.destination);
@@ -36,6 +39,12 @@
   for (const std::string& name : gone) caller_.Forget(name);
 }
 
+bool Route::Up(int destination) const {
+  return std::any_of(endpoints_.begin(), endpoints_.end(), [&](const auto& named) {
+    return named.second.up && named.second.destination == destination;
+  });
+}
+
 void Route::Taken(const Message& m) {
   MessageTaken e;
   e.id = ModuleId(m.number);
--- a/src/stages/route.h
+++ b/src/stages/route.h
@@ -2,6 +2,7 @@
 #ifndef SAGETALLY_SRC_STAGES_ROUTE_H_
 #define SAGETALLY_SRC_STAGES_ROUTE_H_
 
+#include <map>
 #include <set>
 #include <vector>
 
@@ -32,6 +33,8 @@
   void Add(Event event);
   // Whether a list has ever named an endpoint of it.
   bool Knows(int destination) const { return destinations_.contains(destination); }
+  // Whether the list names an endpoint of it that takes new work.
+  bool Up(int destination) const;
   // One round: all events since the last go in, and the actions are carried out in order.
   void Step();
 
@@ -57,7 +60,11 @@
   const Clock& clock_;
   std::vector<Event> events_;
   std::set<int> destinations_;
-  std::set<std::string> endpoints_;  // that the list names
+  struct Named {
+    int destination = 0;
+    bool up = false;
+  };
+  std::map<std::string, Named> endpoints_;  // that the list names
 };
 
 // The module's name for a message.
--- a/src/stages/send.h
+++ b/src/stages/send.h
@@ -10,8 +10,9 @@
 
 class SendStage {
  public:
-  SendStage(Ledger& ledger, Journal& journal, Caller& caller, const Clock& clock)
-      : ledger_(ledger), journal_(journal), caller_(caller), clock_(clock) {}
+  // `histories`: attempts are noted in the message, for those who may look into it later.
+  SendStage(Ledger& ledger, Journal& journal, Caller& caller, const Clock& clock, bool histories)
+      : ledger_(ledger), journal_(journal), caller_(caller), clock_(clock), histories_(histories) {}
 
   void Go(std::uint64_t number, const std::string& endpoint, Duration time_out);
 
@@ -20,6 +21,7 @@
   Journal& journal_;
   Caller& caller_;
   const Clock& clock_;
+  const bool histories_;
 };
 
 }  // namespace sagetally
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -15,11 +15,12 @@
 namespace {
 
 // Kinds of records.
-constexpr char kState = 'S', kAttempt = 'A', kOutcome = 'O', kEnd = 'E', kTold = 'N';
+constexpr char kState = 'S', kAttempt = 'A', kOutcome = 'O', kEnd = 'E', kTold = 'N', kKept = 'K';
 constexpr std::size_t kHead = 8;                 // length and checksum
 constexpr std::size_t kMostRecord = 256 * 1024;  // a longer one is no record
 // Records that must find room after a message was taken: attempts, outcomes, its end.
 constexpr std::size_t kPerMessage = 700;
+constexpr std::size_t kPerHistory = 600;  // the same, for the history of a message
 
 class Writer {
  public:
@@ -55,6 +56,7 @@
   std::string Text() { return std::string(Take(Number<std::uint32_t>())); }
   Time At() { return Time(Number<std::int64_t>()); }
   bool fine() const { return fine_; }
+  bool empty() const { return in_.empty(); }
 
  private:
   std::string_view Take(std::size_t n) {
@@ -94,6 +96,14 @@
   w.Number<std::int32_t>(m.attempts).Number(m.out).At(m.out_since).Text(m.out_at);
   w.Number(m.may_have_run.has_value()).At(m.may_have_run.value_or(Time(0))).Text(m.may_have_run_at);
   w.Number(m.end).At(m.again).At(m.ended_at).Number(m.notice_owed);
+  // What only messages have that may be kept; a log without it is read as one that keeps nothing.
+  if (m.taken_at == Time(0) && m.kept_as == 0) return Framed(w.out());
+  w.At(m.taken_at).Number(m.reason).Number(m.kept_owed).Number(m.kept_as).Number(m.kept_life);
+  w.Text(m.kept_node).Number(static_cast<std::uint32_t>(m.history.size()));
+  for (const AttemptNote& note : m.history) {
+    w.At(note.sent.wall).At(note.sent.steady).Number(note.sent.boot).Text(note.endpoint);
+    w.Number<std::int32_t>(note.outcome ? static_cast<std::int32_t>(*note.outcome) : -1).At(note.told_wait);
+  }
   return Framed(w.out());
 }
 
@@ -124,6 +134,23 @@
   m.again = in.At();
   m.ended_at = in.At();
   m.notice_owed = in.Number<bool>();
+  if (in.empty()) return m;
+  m.taken_at = in.At();
+  m.reason = in.Number<Reason>();
+  m.kept_owed = in.Number<bool>();
+  m.kept_as = in.Number<std::uint64_t>();
+  m.kept_life = in.Number<std::int32_t>();
+  m.kept_node = in.Text();
+  for (auto n = in.Number<std::uint32_t>(); n > 0 && in.fine(); --n) {
+    AttemptNote note;
+    note.sent.wall = in.At();
+    note.sent.steady = in.At();
+    note.sent.boot = in.Number<std::uint64_t>();
+    note.endpoint = in.Text();
+    if (const auto outcome = in.Number<std::int32_t>(); outcome >= 0) note.outcome = Outcome(outcome);
+    note.told_wait = in.At();
+    m.history.push_back(std::move(note));
+  }
   return m;
 }
 
@@ -177,6 +204,7 @@
     }
   }
   bytes_ = at;
+  fresh_ = records == 0;
   // A call that was out when the process ended may have run.
   std::vector<std::uint64_t> numbers;
   for (const auto& [number, m] : ledger_.messages()) numbers.push_back(number);
@@ -209,12 +237,24 @@
       m->out = true;
       m->out_since = since;
       m->out_at = std::move(at);
+      if (!in.empty()) {
+        AttemptNote note;
+        note.sent.wall = since;
+        note.sent.steady = in.At();
+        note.sent.boot = in.Number<std::uint64_t>();
+        note.endpoint = m->out_at;
+        m->history.push_back(std::move(note));
+      }
     }
   } else if (kind == kOutcome) {
     const auto outcome = in.Number<std::int32_t>();
     if (m != nullptr && in.fine()) {
       m->out = false;
       if (MayHaveRun(static_cast<Outcome>(outcome))) NoteMayHaveRun(*m);
+      if (!in.empty() && !m->history.empty()) {
+        m->history.back().outcome = static_cast<Outcome>(outcome);
+        m->history.back().told_wait = in.At();
+      }
     }
   } else if (kind == kEnd) {
     const auto end = in.Number<enum End>();
@@ -222,6 +262,13 @@
     const Time at = in.At();
     if (m != nullptr && in.fine()) {
       m->out = false;
+      if (!in.empty()) {
+        m->reason = in.Number<Reason>();
+        m->kept_owed = in.Number<bool>();
+        if (const auto last = in.Number<std::int32_t>(); last >= 0 && !m->history.empty()) {
+          m->history.back().outcome = static_cast<Outcome>(last);
+        }
+      }
       ledger_.End(*m, end, again, at);
       ledger_.Settle(*m);
     }
@@ -230,6 +277,8 @@
       m->notice_owed = false;
       ledger_.Settle(*m);
     }
+  } else if (kind == kKept) {
+    if (m != nullptr) ledger_.Kept(*m);
   } else {
     return false;
   }
@@ -242,6 +291,7 @@
     live += kHead + 200 + m.request.id.size() + m.request.key.size() + m.request.body.size();
     for (const auto& [name, value] : m.request.attributes) live += 8 + name.size() + value.size();
     if (m.end == End::kNone) live += kPerMessage;
+    if (!m.history.empty()) live += kPerHistory;
   }
   return live;
 }
@@ -255,16 +305,32 @@
 }
 
 void Store::Attempted(const Message& m) {
-  Append(Framed(Record(kAttempt, m).At(m.out_since).Text(m.out_at).out()), true);
+  Writer w = Record(kAttempt, m);
+  w.At(m.out_since).Text(m.out_at);
+  if (!m.history.empty()) w.At(m.history.back().sent.steady).Number(m.history.back().sent.boot);
+  Append(Framed(w.out()), true);
 }
 void Store::Outcame(const Message& m, Outcome outcome) {
-  Append(Framed(Record(kOutcome, m).Number(static_cast<std::int32_t>(outcome)).out()), true);
+  Writer w = Record(kOutcome, m);
+  w.Number(static_cast<std::int32_t>(outcome));
+  if (!m.history.empty()) w.At(m.history.back().told_wait);
+  Append(Framed(w.out()), true);
 }
 void Store::Ended(const Message& m) {
-  Append(Framed(Record(kEnd, m).Number(m.end).At(m.again).At(m.ended_at).out()), true);
+  Writer w = Record(kEnd, m);
+  w.Number(m.end).At(m.again).At(m.ended_at);
+  if (m.kept_owed) {
+    // A call that is still out has no outcome yet; the last one of a delivered message stands only here.
+    const bool known = !m.history.empty() && m.history.back().outcome && !m.out;
+    w.Number(m.reason).Number(m.kept_owed);
+    w.Number<std::int32_t>(known ? static_cast<std::int32_t>(*m.history.back().outcome) : -1);
+  }
+  Append(Framed(w.out()), true);
 }
 void Store::Told(const Message& m) { Append(Framed(Record(kTold, m).out()), true); }
 
+void Store::Kept(const Message& m) { Append(Framed(Record(kKept, m).out()), true); }
+
 bool Store::Append(const std::string& records, bool must) {
   if (bytes_ + records.size() > most_bytes_ / 2) {
     // The records' effect is in the ledger already, so a compaction holds them too.
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -36,8 +36,10 @@
   void Outcame(const Message& message, Outcome outcome) override;
   void Ended(const Message& message) override;
   void Told(const Message& message) override;
+  void Kept(const Message& message) override;
 
   std::size_t bytes() const { return bytes_; }
+  bool fresh() const { return fresh_; }              // there was no log in the folder
   const std::string& note() const { return note_; }  // of the reading, for the log
 
  private:
@@ -54,6 +56,7 @@
   Fd file_;
   std::size_t bytes_ = 0;
   std::string note_;
+  bool fresh_ = false;
 };
 
 }  // namespace sagetally
--- /dev/null
+++ b/tests/kept/resend_test.cpp
@@ -0,0 +1,132 @@
+// Kept messages on real sockets: a thousand failures of every kind, then a rule that sends everything again.
+#include <fstream>
+
+#include "kept/files.h"
+#include "partner.h"
+
+namespace sagetally {
+namespace {
+
+using Fault = Partner::Fault;
+
+constexpr std::size_t kDestinations = 8;
+
+struct KeptWorld : World {
+  explicit KeptWorld(std::uint64_t seed, int slots = 24, int most_held = 200)
+      : World(0, slots, most_held),
+        partner(loop, seed, 10s),
+        clients(
+            loop, [this] { return dispatcher->port(); }, seed) {
+    ports.resize(kDestinations, partner.port);
+    spread = true;
+    clients.destinations = kDestinations;
+    disk_mb = 30;
+    sockets = 1024;
+    rate = 2000;
+    kept.emplace();
+    kept->deferred = kept->resend_deferred = true;
+    kept->rules_path = folder.path + "/rules";
+    kept->slots_share = 0.4;
+    kept->destination_rate = 2000;
+    kept->backoff = 50ms;
+    kept->backoff_most = 400ms;
+    Rules("");
+  }
+  void Rules(const std::string& text) { std::ofstream(folder.path + "/rules") << text; }
+  void Reload() {
+    dispatcher->Reload(ParseConfig(ConfigText(), [](const char*) { return nullptr; }));
+  }
+  kept::Keeper& keeper() { return dispatcher->kept()->keeper(); }
+  std::unique_ptr<kept::Database> Open() const {
+    kept::Database::Settings settings;
+    settings.path = folder.path + "/kept/kept.db";
+    settings.read_only = true;
+    return std::make_unique<kept::Database>(settings);
+  }
+  std::int64_t Count(const std::string& filter) const {
+    return Open()->Count(kept::ParseCondition(filter, {}), Time(0));
+  }
+  std::map<std::string, kept::KeptMessage> Stored() const {
+    std::map<std::string, kept::KeptMessage> all;
+    Open()->ForEach(kept::Condition(), Time(0), false, [&](const kept::KeptMessage& k) {
+      return all.emplace(k.request.id, k).second;  // none stands twice
+    });
+    return all;
+  }
+  // Until every kept message has come to rest: sent again, or held for good.
+  void Rest() {
+    Until(loop, [&] {
+      RunFor(loop, 100ms);
+      return keeper().owed() == 0 && Count("state in {kept, claimed}") == 0;
+    });
+  }
+  // Each message that was taken ended well, at once or by a resend, or is kept still.
+  void CheckAccounts() {
+    const auto stored = Stored();
+    for (const std::string& name : clients.Taken()) {
+      const auto at = stored.find(name);
+      const bool live = partner.delivered.contains(name);
+      const bool resent = at != stored.end() && at->second.state == kept::State::kDelivered;
+      if (at == stored.end() && !live) std::printf("lost: %s\n", name.c_str());
+      assert(at != stored.end() || live);
+      if (resent) assert(live);
+      if (at != stored.end() && !resent) {
+        if (at->second.state != kept::State::kHeld)
+          std::printf("%s\n", kept::ToJson(at->second, false).c_str());
+        assert(at->second.state == kept::State::kHeld && !at->second.ground.empty());
+        assert(at->second.attempts == static_cast<int>(at->second.history.size()));
+      }
+    }
+    assert(partner.forbidden_repeats == 0 && partner.second_copies == 0 && partner.too_many_calls == 0);
+    assert(partner.most_out <= slots);
+  }
+
+  Partner partner;
+  Clients clients;
+};
+
+constexpr char kEverything[] =
+    "rule everything: when true then resend rate 1000/s times 100 window 1h deadline 1s after 0s;";
+
+void AThousandFailuresAreSentAgainAndNoneTwice() {
+  KeptWorld w(7);
+  // Mostly what a partner says at once; long silences would be an outage, with one call a second.
+  using enum Fault;
+  w.partner.menu = {kFull,  kFull,  kShut,  kShut,   kError,      kError,  kError, kError, kError,
+                    kReset, kReset, kReset, kSpoilt, kSilentLate, kSilent, kError, kReset};
+  w.partner.menu.resize(30, kWell);
+  w.Start();
+  w.clients.Start(4ms);
+  Until(w.loop, [&] { return w.keeper().counters().kept >= 1000; });
+  w.clients.Pause();
+  w.Rules(kEverything);
+  w.Reload();
+  RunFor(w.loop, 500ms);  // resends that fail too
+  w.partner.menu = {Fault::kWell};
+  w.Rest();
+  const auto stored = w.Stored();
+  std::map<std::string, int> grounds, reasons;
+  int delivered = 0;
+  for (const auto& [name, k] : stored) {
+    delivered += k.state == kept::State::kDelivered;
+    ++grounds[k.ground];
+    ++reasons[std::string(kept::Name(k.reason))];
+  }
+  std::printf("kept %zu, delivered by resend %d, dropped as repeats by key %d\n", stored.size(), delivered,
+              w.partner.dropped_repeats);
+  for (const auto& [ground, n] : grounds) std::printf("  ground '%s': %d\n", ground.c_str(), n);
+  for (const auto& [reason, n] : reasons) std::printf("  reason '%s': %d\n", reason.c_str(), n);
+  std::fflush(stdout);
+  assert(stored.size() >= 1000 && delivered > 300);
+  assert(grounds["may_have_run"] > 0 && w.partner.calls.size() > 1000);
+  w.CheckAccounts();
+}
+
+}  // namespace
+}  // namespace sagetally
+
+int main() {
+  using namespace sagetally;
+  AThousandFailuresAreSentAgainAndNoneTwice();
+  std::puts("1 passed, 0 failed");
+}
--- a/tests/node/world.h
+++ b/tests/node/world.h
@@ -243,8 +243,8 @@
   // An entry of discovery's list; endpoint `i` belongs to destination 7.
   std::string Entry(std::size_t i, const std::string& state = "in_service") const {
     return R"({"uid":"s-)" + std::to_string(i) + R"(","endpoint":")" + At(ports[i]) +
-           R"(","az":"z","model":"k","pod_group":7,"state":")" + state +
-           R"(","capacity_hint":50.0,"boot_ms":0})";
+           R"(","az":"z","model":"k","pod_group":)" + std::to_string(7 + (spread ? i : 0)) + R"(,"state":")" +
+           state + R"(","capacity_hint":)" + std::to_string(rate) + R"(,"boot_ms":0})";
   }
   std::string List(const std::string& state = "in_service") const {
     std::string all;
@@ -257,8 +257,8 @@
            R"(,"sockets":)" + std::to_string(sockets) + R"(},"known":)" + List() +
            R"(,"settings":{"flavors":["k"],"zones":["z"],"grades":[)" +
            R"({"name":"aviso","slo":2000,"deadline":24000,"idempotency":"pure","credit":1},)" +
-           R"({"name":"pedido","slo":2500,"deadline":16000,"idempotency":"token",)" +
-           R"("repeatWindow":10000,"credit":2},)" +
+           R"({"name":"pedido","slo":2500,"deadline":16000,"idempotency":"token",)" + R"("repeatWindow":)" +
+           std::to_string(repeat_window_ms) + R"(,"credit":2},)" +
            R"({"name":"pagamento","slo":2500,"deadline":20000,"idempotency":"side_effect","credit":5}],)" +
            R"("specifics":{"callsOut":)" + std::to_string(slots) + R"(},"caps":{"mostHeld":)" +
            std::to_string(most_held) + R"(,"maxAttempts":6,"connIdle":15000,"connectTimeout":1500},)" +
@@ -269,6 +269,7 @@
     DeployFile deploy;
     deploy.cloudevents = CloudEventsSettings{{"127.0.0.1", 0}, {}, "/results"};
     if (sink) deploy.cloudevents->sink = Address{"127.0.0.1", sink->port()};
+    deploy.kept = kept;
     dispatcher = std::make_unique<Dispatcher>(loop, log, config, deploy);
   }
   // As SIGKILL leaves it: nothing is said or written any more.
@@ -318,6 +319,10 @@
   std::unique_ptr<Server> sink;
   std::vector<std::unique_ptr<Ask>> asks;
   std::unique_ptr<Dispatcher> dispatcher;
+  std::optional<KeptSettings> kept;
+  bool spread = false;  // each endpoint is a destination of its own, from 7 on
+  int repeat_window_ms = 10000;
+  double rate = 50;  // calls a second that the list tells of the destination
 };
 
 }  // namespace sagetally
