--- a/src/cli/options.cpp
+++ b/src/cli/options.cpp
@@ -107,6 +107,11 @@
   check->add_option("rules", k.rules, "the rule file")->envname("SAGETALLY_RULES")->required();
 }
 
+void AddVersion(CLI::App& app) {
+  app.set_version_flag("--version", std::string("sagetally ") + SAGETALLY_VERSION);
+  for (CLI::App* sub : app.get_subcommands({})) AddVersion(*sub);
+}
+
 }  // namespace
 
 Config Options::ReadConfiguration(Needs needs) const {
@@ -126,7 +131,6 @@
 CommandLine ParseCommandLine(int argc, const char* const* argv) {
   CommandLine line;
   CLI::App app{"sagetally: delivers messages to partner systems, each with exactly one end"};
-  app.set_version_flag("--version", std::string("sagetally ") + SAGETALLY_VERSION);
   app.require_subcommand(0, 1);
   AddCommon(app, line.options);
   // The options may stand on either side of these words; `sagetally` alone serves.
@@ -135,9 +139,7 @@
       ->fallthrough()
       ->callback([&] { line.command = CommandLine::Command::kCheckConfig; });
   AddKept(app, line.kept);
-  for (CLI::App* sub : app.get_subcommands({})) {
-    sub->set_version_flag("--version", std::string("sagetally ") + SAGETALLY_VERSION);
-  }
+  AddVersion(app);
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& error) {
--- a/tests/kept/cli.sh
+++ b/tests/kept/cli.sh
@@ -33,6 +33,8 @@
   until grep -q " ready " log; do kill -0 $pid || { cat log; exit 1; }; sleep 0.02; done
 }
 says "can be used" check-config
+says "^sagetally [0-9]" kept rules check --version
+says "resend: \|hold\|drop" kept --help
 says "4 rules can be used" kept rules check "$source/deploy/kept.example.rules"
 echo 'rule junk: when class = avisos then hold;' >bad.rules
 fails 1 'bad.rules: line 1, column 25: expected one of aviso, pedido, pagamento, found avisos' kept rules check bad.rules
--- a/tests/kept/resend_test.cpp
+++ b/tests/kept/resend_test.cpp
@@ -102,6 +102,11 @@
   w.Rules(kEverything);
   w.Reload();
   RunFor(w.loop, 500ms);  // resends that fail too
+  w.Rules(
+      std::string("rule first: when destination = 7 then resend rate 900/s times 100 deadline 1s after 0s;") +
+      kEverything);
+  w.Reload();  // while resends are out
+  RunFor(w.loop, 300ms);
   w.partner.menu = {Fault::kWell};
   w.Rest();
   const auto stored = w.Stored();
@@ -117,6 +122,9 @@
   for (const auto& [ground, n] : grounds) std::printf("  ground '%s': %d\n", ground.c_str(), n);
   for (const auto& [reason, n] : reasons) std::printf("  reason '%s': %d\n", reason.c_str(), n);
   std::fflush(stdout);
+  for (const auto& [name, k] : stored) {  // of two rules that match, the first decides
+    if (k.rule == "first") assert(k.request.destination == 7);
+  }
   assert(stored.size() >= 1000 && delivered > 300);
   assert(grounds["may_have_run"] > 0 && w.partner.calls.size() > 1000);
   w.CheckAccounts();
