--- a/src/cli/options.cpp
+++ b/src/cli/options.cpp
@@ -53,9 +53,10 @@
   CLI::App* kept =
       app.add_subcommand("kept", "undeliverable messages: inspect them, send them again by rule");
   kept->require_subcommand(1);
-  kept->fallthrough(false);
+  kept->fallthrough();
   const auto command = [&](CLI::App* parent, const char* name, const char* text, std::string full) {
     CLI::App* sub = parent->add_subcommand(name, text);
+    sub->fallthrough();  // the options of the program may stand behind
     sub->callback([&k, full] { k.command = full; });
     return sub;
   };
@@ -103,6 +104,7 @@
   }
   CLI::App* rules = kept->add_subcommand("rules", "rule files");
   rules->require_subcommand(1);
+  rules->fallthrough();
   CLI::App* check = command(rules, "check", "reads a rule file and says what is wrong", "rules check");
   check->add_option("rules", k.rules, "the rule file")->envname("SAGETALLY_RULES")->required();
 }
