Count a call that was out at its message's end as one that may have run

Fifty SIGKILLs on sockets showed two pagamentos that took effect twice: their time was up while the call was out, the process died before the call came back, and the replay of the end forgot the call. The kept message then looked as if it had never run, and a rule sent it again. The replay now notes it.

--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -261,6 +261,7 @@
     const Duration again = in.At();
     const Time at = in.At();
     if (m != nullptr && in.fine()) {
+      if (m->out) NoteMayHaveRun(*m);  // it ended with its call out, and how that came back is not on record
       m->out = false;
       if (!in.empty()) {
         m->reason = in.Number<Reason>();
--- a/tests/kept/crash_test.cpp
+++ b/tests/kept/crash_test.cpp
@@ -329,6 +329,37 @@
   }
 }
 
+// Its time was up while its call was out, and the process died before the call came back.
+void AMessageThatEndedWithItsCallOutMayHaveRun() {
+  const Folder folder;
+  for (const bool again : {false, true}) {
+    Ledger ledger;
+    Store store(folder.path, 1'000'000, ledger);
+    if (again) {
+      const Message& m = *ledger.Find(1);
+      assert(m.kept_owed && m.may_have_run == Time(77));
+      assert(kept::FromMessage(m, "n0", "pagamento", 1).may_have_run == Moment({Time(77), Time(7), 9}));
+      break;
+    }
+    Message& m = ledger.Add([] {
+      Message held;
+      held.request.id = "p";
+      held.taken_at = Time(70);
+      return held;
+    }());
+    const Message* one[] = {&m};
+    assert(store.Taken(one));
+    m.out = true;
+    m.attempts = 1;
+    m.out_since = Time(77);
+    m.history.push_back({{Time(77), Time(7), 9}, "s-0", {}, Duration(0)});
+    store.Attempted(m);
+    m.kept_owed = true;
+    ledger.End(m, End::kFailed, Duration(0), Time(80));
+    store.Ended(m);
+  }
+}
+
 }  // namespace
 }  // namespace sagetally
 
@@ -340,5 +371,6 @@
   FiveFailedResendsAreOneMessageWithAllItsAttempts();
   AStalledStoreNeverStopsDelivery();
   AWindowThatEndsMeanwhileForbids();
-  std::puts("6 passed, 0 failed");
+  AMessageThatEndedWithItsCallOutMayHaveRun();
+  std::puts("7 passed, 0 failed");
 }
--- a/tests/kept/partner.h
+++ b/tests/kept/partner.h
@@ -4,8 +4,6 @@
 #ifndef SAGETALLY_TESTS_KEPT_PARTNER_H_
 #define SAGETALLY_TESTS_KEPT_PARTNER_H_
 
-#include <event2/listener.h>
-
 #include <boost/random/mersenne_twister.hpp>
 #include <boost/random/uniform_int_distribution.hpp>
 
@@ -19,14 +17,7 @@
   using SteadyTime = std::chrono::steady_clock::time_point;
 
   Partner(Loop& loop, std::uint64_t seed, Duration memory) : loop_(loop), random_(seed), memory_(memory) {
-    sockaddr_in at{};
-    at.sin_family = AF_INET;
-    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    listener_.reset(evconnlistener_new_bind(loop.base(), Accepted, this, LEV_OPT_CLOSE_ON_FREE, -1,
-                                            reinterpret_cast<sockaddr*>(&at), sizeof at));
-    socklen_t size = sizeof at;
-    getsockname(evconnlistener_get_fd(listener_.get()), reinterpret_cast<sockaddr*>(&at), &size);
-    port = ntohs(at.sin_port);
+    listener_ = ListenOnLoopback(loop, Accepted, this, port);
   }
 
   std::uint16_t port = 0;
@@ -107,7 +98,11 @@
     Do(c, name, key, fault, ran);
   }
 
+  static long Ms() { return static_cast<long>(SteadyTime::clock::now().time_since_epoch() / 1ms); }
+
   void Do(Client& c, const std::string& name, const std::string& key, Fault fault, bool ran) {
+    seen_[name] +=
+        " " + std::to_string(Ms()) + "/" + std::to_string(static_cast<int>(fault)) + (ran ? "r" : "");
     switch (fault) {
       case Fault::kWell:
         Effect(name, key);
@@ -154,16 +149,20 @@
       }
       remembered_[key] = now;
     }
-    if (++effects[name] > 1 && name[0] != 'a') ++forbidden_repeats;
+    if (++effects[name] > 1 && name[0] != 'a') {
+      ++forbidden_repeats;
+      std::fprintf(stderr, "forbidden repeat of %s:%s now %ld\n", name.c_str(), seen_[name].c_str(), Ms());
+    }
   }
 
   Loop& loop_;
   boost::random::mt19937_64 random_;
   const Duration memory_;
-  std::unique_ptr<evconnlistener, Free<evconnlistener_free>> listener_;
+  ListenerPtr listener_;
   std::map<Client*, std::unique_ptr<Client>> clients_;
   std::vector<std::unique_ptr<Timer>> late_;  // of calls that run on without their connection
   std::multiset<std::string> open_;
+  std::map<std::string, std::string> seen_;       // calls with their faults, for the report of a broken rule
   std::map<std::string, SteadyTime> remembered_;  // keys that took effect
 };
 
--- a/tests/node/endpoints_test.cpp
+++ b/tests/node/endpoints_test.cpp
@@ -1,6 +1,4 @@
 // Endpoints that answer what can't be read, or more than is theirs.
-#include <event2/listener.h>
-
 #include "world.h"
 
 namespace sagetally {
@@ -9,16 +7,7 @@
 // Answers each call with the next of `script` (the last one again and again), byte for byte.
 class RawEndpoint {
  public:
-  explicit RawEndpoint(Loop& loop) : loop_(loop) {
-    sockaddr_in at{};
-    at.sin_family = AF_INET;
-    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    listener_.reset(evconnlistener_new_bind(loop.base(), Accepted, this, LEV_OPT_CLOSE_ON_FREE, -1,
-                                            reinterpret_cast<sockaddr*>(&at), sizeof at));
-    socklen_t size = sizeof at;
-    getsockname(evconnlistener_get_fd(listener_.get()), reinterpret_cast<sockaddr*>(&at), &size);
-    port = ntohs(at.sin_port);
-  }
+  explicit RawEndpoint(Loop& loop) : loop_(loop) { listener_ = ListenOnLoopback(loop, Accepted, this, port); }
   void Answer(std::size_t call) {
     const std::string text = script.front();
     if (script.size() > 1) script.pop_front();
@@ -53,7 +42,7 @@
     static_cast<RawEndpoint*>(self)->closed += 1;
   }
   Loop& loop_;
-  std::unique_ptr<evconnlistener, Free<evconnlistener_free>> listener_;
+  ListenerPtr listener_;
   std::vector<Buffers> all_;
 };
 
--- a/tests/node/world.h
+++ b/tests/node/world.h
@@ -8,6 +8,7 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/keyvalq_struct.h>
+#include <event2/listener.h>
 
 #include <cassert>
 #include <csignal>
@@ -46,6 +47,20 @@
   Until(loop, [&] { return over; });
 }
 
+// A listener on a free port of loopback, which `port` gets.
+using ListenerPtr = std::unique_ptr<evconnlistener, Free<evconnlistener_free>>;
+inline ListenerPtr ListenOnLoopback(Loop& loop, evconnlistener_cb accepted, void* self, std::uint16_t& port) {
+  sockaddr_in at{};
+  at.sin_family = AF_INET;
+  at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  ListenerPtr listener(evconnlistener_new_bind(loop.base(), accepted, self, LEV_OPT_CLOSE_ON_FREE, -1,
+                                               reinterpret_cast<sockaddr*>(&at), sizeof at));
+  socklen_t size = sizeof at;
+  getsockname(evconnlistener_get_fd(listener.get()), reinterpret_cast<sockaddr*>(&at), &size);
+  port = ntohs(at.sin_port);
+  return listener;
+}
+
 struct Seen {  // one call at an endpoint
   std::string id, key, deadline, body;
   Headers headers;
