--- a/src/stages/book.cpp
+++ b/src/stages/book.cpp
@@ -6,7 +6,11 @@
 
 void Book::End(Message& message, enum End end, Duration again) {
   if (message.end != End::kNone) return;
-  if (keep_ != nullptr) keep_->Ending(message, end);
+  if (keep_ != nullptr) {
+    keep_->Ending(message, end);
+  } else if (message.kept_as != 0) {
+    message.kept_owed = true;  // guards against a second resend: the store still calls it claimed
+  }
   ledger_.End(message, end, again, clock_.Now());
   journal_.Ended(message);
   if (message.answered) Tell(message);
@@ -18,7 +22,9 @@
 }
 
 void Book::Owe(Message& message) {
-  if (message.kept_owed && message.end != End::kNone && message.answered && !message.out) {
+  // Where messages are kept no more, what is owed to the store waits in the journal until they are again.
+  if (keep_ != nullptr && message.kept_owed && message.end != End::kNone && message.answered &&
+      !message.out) {
     keep_->Owed(message);
   }
   ledger_.Settle(message);
