--- a/tests/kept/crash_test.cpp
+++ b/tests/kept/crash_test.cpp
@@ -30,7 +30,7 @@
 
 // One life of a node. Calls wait in `calls` until the test answers them.
 struct Life : Caller, Teller, Host {
-  Life(Outside& outside, const Config& config, const KeptSettings& settings)
+  Life(Outside& outside, const Config& config, const KeptSettings& settings, bool on = true)
       : outside(outside),
         store(config.state_folder, 5'000'000, ledger),
         jobs([&] {
@@ -39,16 +39,18 @@
         }()),
         keeper(kept::KeeperFrom(config, settings), jobs, ledger, outside.clock, log,
                [this](Duration d) { wake_keeper = this->outside.clock.now + d; }),
-        chain(config.site, 1, ledger, store, *this, *this, *this, outside.clock, &keeper) {
+        chain(config.site, 1, ledger, store, *this, *this, *this, outside.clock, on ? &keeper : nullptr) {
     keeper.SetRules(
         std::make_shared<kept::RuleSet>(kept::ParseRules(
             "rule all: when true then resend rate 100/s times 9 window 1h deadline 2s after 0s;", {})),
         "all");
     chain.route.Listed(config.known);
-    keeper.Start({.take_again = [this](Message m) { return chain.admit.TakeAgain(std::move(m)); },
-                  .up = [this](int destination) { return chain.route.Up(destination); },
-                  .kept = [this](std::uint64_t number) { chain.book.Kept(number); }},
-                 store.fresh());
+    if (on) {
+      keeper.Start({.take_again = [this](Message m) { return chain.admit.TakeAgain(std::move(m)); },
+                    .up = [this](int destination) { return chain.route.Up(destination); },
+                    .kept = [this](std::uint64_t number) { chain.book.Kept(number); }},
+                   store.fresh());
+    }
     chain.Resume();
   }
 
@@ -360,6 +362,36 @@
   }
 }
 
+// Switched off with a failed message owed to the store and a resend out, then on again.
+void SwitchedOffAndOnNothingIsLostOrDoubled() {
+  Outside outside;
+  const Site site(outside);
+  auto life = std::make_unique<Life>(outside, site.config, site.settings);
+  assert(life->Post("pagamento", "first"));
+  while (life->keeper.counters().kept == 0) {
+    if (!life->DoOne(Outcome::kConnectFailed, false)) life->Wait();
+  }
+  while (life->calls.empty()) {  // until its resend is out
+    if (!life->DoOne(Outcome::kConnectFailed, false)) life->Wait();
+  }
+  life->calls.clear();  // its answer never comes
+  life->jobs.fail = kept::JobError{kept::StoreError::Kind::kFull, "no space", false};
+  assert(life->Post("pagamento", "second"));
+  Settle(*life, Outcome::kReset, true, 5);
+  life = nullptr;
+  for (const bool on : {false, true}) {
+    life = std::make_unique<Life>(outside, site.config, site.settings, on);
+    Settle(*life, Outcome::kOk, false, 100);
+    life = nullptr;
+  }
+  assert(outside.calls["first"] <= 6 && outside.effects["first"] <= 1 && outside.effects["second"] == 1);
+  kept::Database db = Reading(outside);
+  assert(db.Count(kept::Condition(), Time(0)) == 2);
+  assert(db.Count(kept::ParseCondition("id = \"first\" and state = held and may_have_run", {}), Time(0)) ==
+         1);
+  assert(db.Count(kept::ParseCondition("id = \"second\" and state = delivered", {}), Time(0)) == 1);
+}
+
 }  // namespace
 }  // namespace sagetally
 
@@ -372,5 +404,6 @@
   AStalledStoreNeverStopsDelivery();
   AWindowThatEndsMeanwhileForbids();
   AMessageThatEndedWithItsCallOutMayHaveRun();
-  std::puts("7 passed, 0 failed");
+  SwitchedOffAndOnNothingIsLostOrDoubled();
+  std::puts("8 passed, 0 failed");
 }
