--- a/bench/kept_bench.cpp
+++ b/bench/kept_bench.cpp
@@ -1,5 +1,5 @@
 // Measures kept messages: what they cost live traffic, and how the store does with a million of them.
-//   kept_bench take off|on|stalled SECONDS    live messages: time to the 202, and calls a second
+//   kept_bench take off|on|stalled SECONDS [RATE]    live messages (400 a second): time to the 202, calls
 //   kept_bench store COUNT                    fills a store, then lists with filters; memory by phase
 //   kept_bench resend RATE|0 SECONDS          live traffic beside resends of 20,000 kept messages
 #include <sqlite3.h>
@@ -127,7 +127,7 @@
   }
 };
 
-void Take(const std::string& mode, double seconds) {
+void Take(const std::string& mode, double seconds, double rate) {
   BenchWorld w;
   if (mode != "off") w.Keep();
   w.Start();
@@ -137,7 +137,7 @@
     sqlite3_open((w.folder.path + "/kept/kept.db").c_str(), &lock);
     sqlite3_exec(lock, "BEGIN IMMEDIATE", nullptr, nullptr, nullptr);
   }
-  Load load(w, 400, 0.2);
+  Load load(w, rate, 0.2);
   load.Start();
   RunFor(w.loop, std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds)));
   load.Stop();
@@ -251,14 +251,14 @@
 
 int main(int argc, char** argv) {
   const std::string what = argc > 1 ? argv[1] : "";
-  if (what == "take" && argc == 4) {
-    sagetally::Take(argv[2], std::atof(argv[3]));
+  if (what == "take" && (argc == 4 || argc == 5)) {
+    sagetally::Take(argv[2], std::atof(argv[3]), argc == 5 ? std::atof(argv[4]) : 400);
   } else if (what == "store" && argc == 3) {
     sagetally::Million(std::atoll(argv[2]));
   } else if (what == "resend" && argc == 4) {
     sagetally::Resend(std::atof(argv[2]), std::atof(argv[3]));
   } else {
-    std::cerr << "usage: kept_bench take off|on|stalled SECONDS | store COUNT | resend RATE SECONDS\n";
+    std::cerr << "usage: kept_bench take off|on|stalled SECONDS [RATE] | store COUNT | resend RATE SECONDS\n";
     return 2;
   }
 }
--- a/src/config/deploy.cpp
+++ b/src/config/deploy.cpp
@@ -12,36 +12,6 @@
 
 using Json = nlohmann::json;
 
-void Leaves(const Json& schema, const std::string& prefix, std::vector<SettingName>& out) {
-  for (const auto& [name, part] : schema["properties"].items()) {
-    if (part.value("type", "") == "object") {
-      Leaves(part, prefix + name + ".", out);
-    } else {
-      out.push_back({prefix + name, part.value("description", "")});
-    }
-  }
-}
-
-const Json& SchemaPart(const Json& schema, const std::string& path) {
-  const Json* part = &schema;
-  std::istringstream steps(path);
-  for (std::string step; std::getline(steps, step, '.');) part = &part->at("properties").at(step);
-  return *part;
-}
-
-Json FromText(const Json& part, const std::string& text) {
-  const std::string type = part.value("type", "string");
-  if (type == "array") {
-    Json list = Json::array();
-    std::istringstream items(text);
-    for (std::string item; std::getline(items, item, ',');) list.push_back(item);
-    return list;
-  }
-  if (type == "string") return text;
-  Json value = Json::parse(text, nullptr, false);  // a number or a boolean; else the schema turns it down
-  return value.is_discarded() ? Json(text) : value;
-}
-
 Address At(const Json& part, const char* key, const char* name) {
   return ParseAddress(part.at(key).get<std::string>(), name);
 }
@@ -73,11 +43,7 @@
 
 }  // namespace
 
-std::vector<SettingName> NodeSettings() {
-  std::vector<SettingName> all;
-  Leaves(Json::parse(kNodeSchema), "", all);
-  return all;
-}
+std::vector<SettingName> NodeSettings() { return SettingNames(Json::parse(kNodeSchema)); }
 
 DeployFile ParseDeployFile(const std::string& text, const Overrides& overrides) {
   Json root;
@@ -87,12 +53,7 @@
     throw std::runtime_error(std::string("no JSON: ") + error.what());
   }
   const Json schema = Json::parse(kNodeSchema);
-  for (const auto& [path, value] : overrides) {
-    Json* at = &root;
-    std::istringstream steps(path);
-    for (std::string step; std::getline(steps, step, '.');) at = &(*at)[step];
-    *at = FromText(SchemaPart(schema, path), value);
-  }
+  Override(schema, root, overrides);
   Validate(schema, root);
   DeployFile file;
   const std::string role = root.value("role", "both");
--- a/src/config/deploy.h
+++ b/src/config/deploy.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "config/config.h"
+#include "config/schema.h"
 
 namespace sagetally {
 
@@ -52,12 +53,6 @@
   std::optional<KeptSettings> kept;
 };
 
-// Settings that go before the file's, by path, such as {"cloudevents.listen", "127.0.0.1:9080"}.
-using Overrides = std::map<std::string, std::string>;
-
-struct SettingName {  // one leaf of the schema
-  std::string path, description;
-};
 std::vector<SettingName> NodeSettings();
 
 // Throw std::runtime_error naming the JSON pointer at fault, what was expected and what was found.
--- a/src/config/schema.cpp
+++ b/src/config/schema.cpp
@@ -1,6 +1,7 @@
 #include "config/schema.h"
 
 #include <nlohmann/json.hpp>
+#include <sstream>
 #include <stdexcept>
 #include <string>
 #include <valijson/adapters/nlohmann_json_adapter.hpp>
@@ -62,8 +63,55 @@
   return "";
 }
 
+void Leaves(const Json& schema, const std::string& prefix, std::vector<SettingName>& out) {
+  for (const auto& [name, part] : schema["properties"].items()) {
+    if (part.value("type", "") == "object" && part.contains("properties")) {
+      Leaves(part, prefix + name + ".", out);
+    } else {
+      out.push_back({prefix + name, part.value("description", "")});
+    }
+  }
+}
+
+const Json& SchemaPart(const Json& schema, const std::string& path) {
+  const Json* part = &schema;
+  std::istringstream steps(path);
+  for (std::string step; std::getline(steps, step, '.');) part = &part->at("properties").at(step);
+  return *part;
+}
+
+Json FromText(const Json& part, const std::string& text) {
+  const std::string type = part.value("type", "string");
+  const bool json_text = !text.empty() && (text.front() == '[' || text.front() == '{');
+  if (type == "array" && !json_text) {
+    Json list = Json::array();
+    std::istringstream items(text);
+    for (std::string item; std::getline(items, item, ',');)
+      list.push_back(FromText(part.value("items", Json::object()), item));
+    return list;
+  }
+  if (type == "string") return text;
+  Json value = Json::parse(text, nullptr, false);  // a number or a boolean; else the schema turns it down
+  return value.is_discarded() ? Json(text) : value;
+}
+
 }  // namespace
 
+std::vector<SettingName> SettingNames(const Json& schema) {
+  std::vector<SettingName> all;
+  Leaves(schema, "", all);
+  return all;
+}
+
+void Override(const Json& schema, Json& document, const Overrides& overrides) {
+  for (const auto& [path, value] : overrides) {
+    Json* at = &document;
+    std::istringstream steps(path);
+    for (std::string step; std::getline(steps, step, '.');) at = &(*at)[step];
+    *at = FromText(SchemaPart(schema, path), value);
+  }
+}
+
 void Validate(const Json& schema, const Json& document) {
   valijson::Schema rules;
   valijson::SchemaParser parser;
