sagetally-lab: open-loop load, stand-ins as programs, reports and one command to try it all

No wish can be judged without honest numbers, and a newcomer could not start sagetally at all.

Load from a plan whose messages are due whatever became of those before them, latency from the intended start, one fate for each message; traces recorded, replayed and imported (Spirit X3); partner, agent, registry, sink and front as programs with a timeline of faults and a checker of the protocol's rules, which the tests of the dispatcher now stand on too; histograms, intervals, plots, one page; a search for limits; and try.

--- /dev/null
+++ b/src/lab/random.h
@@ -0,0 +1,23 @@
+// Seeded random numbers: one stream for each purpose, so that one draw more in one place moves nothing
+// elsewhere.
+#ifndef SAGETALLY_SRC_LAB_RANDOM_H_
+#define SAGETALLY_SRC_LAB_RANDOM_H_
+
+#include <xxhash.h>
+
+#include <cstdint>
+#include <pcg_random.hpp>
+#include <string_view>
+
+namespace sagetally::lab {
+
+using Random = pcg64;  // PCG XSL RR 128/64 (O'Neill, 2014)
+
+inline Random Stream(std::uint64_t seed, std::string_view purpose) {
+  const XXH128_hash_t hash = XXH3_128bits_withSeed(purpose.data(), purpose.size(), seed);
+  return Random(hash.low64, hash.high64);
+}
+
+}  // namespace sagetally::lab
+
+#endif  // SAGETALLY_SRC_LAB_RANDOM_H_
--- /dev/null
+++ b/src/lab/report/plots.h
@@ -0,0 +1,23 @@
+// Plots by gnuplot, as SVG and PNG.
+#ifndef SAGETALLY_SRC_LAB_REPORT_PLOTS_H_
+#define SAGETALLY_SRC_LAB_REPORT_PLOTS_H_
+
+#include <string>
+#include <vector>
+
+#include "lab/report/result.h"
+
+namespace sagetally::lab {
+
+struct Plot {
+  std::string name, title;  // files NAME.svg and NAME.png
+  bool made = false;
+};
+
+// Writes data, scripts and plots of one run into `folder`; without gnuplot, plots are not made and the rest
+// is there. Throws std::runtime_error if the folder can't be written.
+std::vector<Plot> DrawPlots(const Result& result, const std::string& folder, const std::string& prefix);
+
+}  // namespace sagetally::lab
+
+#endif  // SAGETALLY_SRC_LAB_REPORT_PLOTS_H_
--- /dev/null
+++ b/src/lab/report/record.cpp
@@ -0,0 +1,48 @@
+#include "lab/report/record.h"
+
+#include <fmt/format.h>
+
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <ostream>
+#include <stdexcept>
+
+namespace sagetally::lab {
+
+const char* Name(SeenKind kind) {
+  static constexpr const char* kNames[] = {"delivered", "effect", "undeliverable", "deferred"};
+  return kNames[static_cast<int>(kind)];
+}
+
+void Write(std::ostream& out, const Sighting& sighting) {
+  const nlohmann::json id = sighting.id;
+  out << fmt::format(R"({{"what":"{}","at_us":{},"id":{}}})", Name(sighting.kind), sighting.at_us,
+                     id.dump(-1, ' ', true, nlohmann::json::error_handler_t::replace))
+      << "\n";
+}
+
+std::vector<Sighting> ReadSightings(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) throw std::runtime_error(path + ": can't be read");
+  std::vector<Sighting> all;
+  std::int64_t number = 0;
+  for (std::string line; std::getline(file, line);) {
+    ++number;
+    try {
+      const auto json = nlohmann::json::parse(line);
+      const auto what = json.at("what").get<std::string>();
+      Sighting s{SeenKind::kDelivered, json.at("at_us"), json.at("id")};
+      while (what != Name(s.kind)) {
+        if (s.kind == SeenKind::kDeferred) throw std::runtime_error("unknown sighting '" + what + "'");
+        s.kind = static_cast<SeenKind>(static_cast<int>(s.kind) + 1);
+      }
+      all.push_back(std::move(s));
+    } catch (const std::exception& error) {
+      if (file.eof()) break;  // a last line that its writer had no time to end
+      throw std::runtime_error(path + ":" + std::to_string(number) + ": " + error.what());
+    }
+  }
+  return all;
+}
+
+}  // namespace sagetally::lab
--- /dev/null
+++ b/src/lab/try/child.cpp
@@ -0,0 +1,67 @@
+#include "lab/try/child.h"
+
+#include <fcntl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <csignal>
+#include <stdexcept>
+
+namespace sagetally::lab {
+namespace {
+
+int Code(int status) { return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status); }
+
+}  // namespace
+
+Child::Child(std::vector<std::string> words, const std::string& folder, const std::string& log) : log_(log) {
+  std::vector<char*> argv;
+  for (std::string& word : words) argv.push_back(word.data());
+  argv.push_back(nullptr);
+  const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0644);
+  if (out < 0) throw std::runtime_error(log + ": can't be written");
+  pid_ = ::fork();
+  if (pid_ == 0) {  // only calls that are safe after a fork in a program with threads
+    ::dup2(out, STDOUT_FILENO);
+    ::dup2(out, STDERR_FILENO);
+    ::setpgid(0, 0);  // the terminal's interrupt is for the parent, which ends its children itself
+    sigset_t none{};
+    ::sigemptyset(&none);
+    ::sigprocmask(SIG_SETMASK, &none, nullptr);
+    if (folder.empty() || ::chdir(folder.c_str()) == 0) ::execvp(argv[0], argv.data());
+    ::_exit(127);
+  }
+  ::close(out);
+  if (pid_ < 0) throw std::runtime_error("no child process can be started");
+}
+
+Child::~Child() {
+  if (!Running()) return;
+  Signal(SIGKILL);
+  Wait();
+}
+
+bool Child::Running() const {
+  int status = 0;
+  if (pid_ <= 0) return false;
+  if (::waitpid(pid_, &status, WNOHANG) != pid_) return true;
+  code_ = Code(status);
+  pid_ = 0;
+  return false;
+}
+
+void Child::Signal(int number) const {
+  if (pid_ > 0) ::kill(pid_, number);
+}
+
+int Child::Wait() const {
+  int status = 0;
+  if (pid_ <= 0) return code_;
+  while (::waitpid(pid_, &status, 0) < 0 && errno == EINTR) {
+  }
+  pid_ = 0;
+  return code_ = Code(status);
+}
+
+}  // namespace sagetally::lab
--- /dev/null
+++ b/src/lab/try/child.h
@@ -0,0 +1,35 @@
+// A child process: started without a shell, ended and waited for at the latest when its object goes.
+#ifndef SAGETALLY_SRC_LAB_TRY_CHILD_H_
+#define SAGETALLY_SRC_LAB_TRY_CHILD_H_
+
+#include <sys/types.h>
+
+#include <string>
+#include <vector>
+
+namespace sagetally::lab {
+
+class Child {
+ public:
+  // `words`: the program, looked up in PATH unless it holds a slash, and its arguments. `folder`: where it is
+  // started (empty: here). `log`: a file for what it writes. A program that can't be started ends at once
+  // with 127.
+  Child(std::vector<std::string> words, const std::string& folder, const std::string& log);
+  ~Child();  // by SIGKILL, if it still runs
+  Child(const Child&) = delete;
+  Child& operator=(const Child&) = delete;
+
+  bool Running() const;
+  void Signal(int number) const;
+  int Wait() const;  // exit code, or 128 and the signal that ended it
+  const std::string& log() const { return log_; }
+
+ private:
+  const std::string log_;
+  mutable pid_t pid_ = 0;
+  mutable int code_ = 0;
+};
+
+}  // namespace sagetally::lab
+
+#endif  // SAGETALLY_SRC_LAB_TRY_CHILD_H_
--- a/tests/all.sh
+++ b/tests/all.sh
@@ -9,5 +9,5 @@
   ctest --test-dir $build --output-on-failure -j"$(nproc)"
 done
 # The deploy build: no tests, no GoogleTest.
-cmake -S . -B build-test-deploy -DCMAKE_BUILD_TYPE=Release -DBUILD_TESTING=OFF
+cmake -S . -B build-test-deploy -DCMAKE_BUILD_TYPE=Release -DBUILD_TESTING=OFF -DSAGETALLY_LAB=OFF
 cmake --build build-test-deploy -j"$(nproc)"
--- a/tests/kept/kill_test.cpp
+++ b/tests/kept/kill_test.cpp
@@ -79,8 +79,8 @@
         R"({"kept":{"ends":["undeliverable","deferred"],"resend_deferred":true,"rules":")" + w.folder.path +
             R"(/rules","slots_share":0.4,"destination_rate":1000,"backoff_ms":50,"backoff_most_ms":400}})");
   using enum Partner::Fault;
-  partner.menu = {kFull,  kFull,  kShut,  kShut,   kError,      kError,  kError, kError, kError,
-                  kReset, kReset, kReset, kSpoilt, kSilentLate, kSilent, kError, kReset};
+  partner.menu = {kFull,  kFull,  kRefuse, kRefuse, kError, kError,  kError, kError, kError,
+                  kReset, kReset, kReset,  kSpoilt, kLate,  kSilent, kError, kReset};
   partner.menu.resize(30, kWell);
   auto process = std::make_unique<Process>(w.loop, program, w.folder.path);
   Clients clients(
@@ -110,7 +110,7 @@
   Until(w.loop, [&] {  // all at rest, and no call for a while
     RunFor(w.loop, 200ms);
     const bool still =
-        count("state in {kept, claimed}") == 0 && partner.calls.size() == calls && partner.out == 0;
+        count("state in {kept, claimed}") == 0 && partner.calls.size() == calls && partner.out() == 0;
     calls = partner.calls.size();
     quiet = still ? quiet + 1 : 0;
     return quiet >= 8;
@@ -141,9 +141,9 @@
       "%d kills, %d handed in, %zu taken, %zu kept, %d delivered by resend, %d held; forbidden repeats %d, "
       "second copies %d, lost %d\n",
       kills, clients.posted, taken.size(), stored.size(), states[kept::State::kDelivered],
-      states[kept::State::kHeld], partner.forbidden_repeats, partner.second_copies, lost);
+      states[kept::State::kHeld], partner.forbidden_repeats, partner.Broken("second copy"), lost);
   std::fflush(stdout);
-  assert(lost == 0 && partner.forbidden_repeats == 0 && partner.too_many_calls == 0);
+  assert(lost == 0 && partner.forbidden_repeats == 0 && partner.Broken("too many attempts") == 0);
   assert(taken.size() > static_cast<std::size_t>(kills) && states[kept::State::kDelivered] > 0);
 }
 
--- a/tests/kept/partner.h
+++ b/tests/kept/partner.h
@@ -6,164 +6,71 @@
 
 #include <boost/random/mersenne_twister.hpp>
 #include <boost/random/uniform_int_distribution.hpp>
+#include <set>
 
 #include "../node/world.h"
+#include "lab/load/client.h"
+#include "lab/standin/partner.h"
 
 namespace sagetally {
 
 class Partner {
  public:
-  enum class Fault { kWell, kFull, kShut, kError, kReset, kSpoilt, kSilentLate, kSilent };
-  using SteadyTime = std::chrono::steady_clock::time_point;
+  using Fault = lab::Fault;
+
+  Partner(Loop& loop, std::uint64_t seed, Duration memory)
+      : random_(seed),
+        partner_(loop, Settings(memory), timeline_, checker_, lab::Stream(seed, "partner"), lab::NowUs()),
+        port(partner_.port()) {
+    partner_.identify = [this](const lab::Call& call) {
+      ++calls[call.body];
+      return lab::Identity{call.body, std::nullopt, KindOf(call.body), ""};
+    };
+    partner_.decide = [this](const lab::Call&) {
+      lab::FaultSpan span;
+      span.fault = menu[boost::random::uniform_int_distribution<std::size_t>(0, menu.size() - 1)(random_)];
+      span.ms =
+          span.fault == Fault::kFull ? 20 : 300;  // given up by the dispatcher, and run later all the same
+      return span;
+    };
+    partner_.on_delivered = [this](const std::string& name) { ++delivered[name]; };
+    partner_.on_effect = [this](const std::string& name) {
+      if (++effects[name] < 2 || name[0] == 'a') return;
+      ++forbidden_repeats;
+      std::fprintf(stderr, "forbidden repeat of %s\n", name.c_str());
+    };
+  }
 
-  Partner(Loop& loop, std::uint64_t seed, Duration memory) : loop_(loop), random_(seed), memory_(memory) {
-    listener_ = ListenOnLoopback(loop, Accepted, this, port);
+  // Calls out now, and the most there were; broken rules by name.
+  std::size_t out() const { return checker_.out(); }
+  int most_out() const { return checker_.most_out(); }
+  int Broken(const std::string& rule) const {
+    int count = 0;
+    for (const lab::Finding& f : checker_.findings()) count += f.rule == rule ? 1 : 0;
+    return count;
   }
+  std::int64_t dropped_repeats() const { return partner_.dropped_repeats; }
 
-  std::uint16_t port = 0;
   std::vector<Fault> menu = {Fault::kWell};              // one is drawn for each call
-  Duration pause{0};                                     // before each answer
   std::map<std::string, int> effects, calls, delivered;  // by name
-  int forbidden_repeats = 0, second_copies = 0, too_many_calls = 0, dropped_repeats = 0, out = 0,
-      most_out = 0;
+  int forbidden_repeats = 0;
 
  private:
-  struct Client {
-    Partner* partner = nullptr;
-    std::unique_ptr<bufferevent, Free<bufferevent_free>> buffers;
-    std::string name;  // of the call out
-    std::vector<std::unique_ptr<Timer>> timers;
-  };
-
-  static void Accepted(evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self) {
-    auto* p = static_cast<Partner*>(self);
-    auto client = std::make_unique<Client>();
-    client->partner = p;
-    client->buffers.reset(bufferevent_socket_new(p->loop_.base(), fd, BEV_OPT_CLOSE_ON_FREE));
-    bufferevent_setcb(client->buffers.get(), Read, nullptr, Ended, client.get());
-    bufferevent_enable(client->buffers.get(), EV_READ | EV_WRITE);
-    p->clients_[client.get()] = std::move(client);
-  }
-
-  static std::string Header(const std::string& head, const std::string& name) {
-    const std::size_t at = head.find("\r\n" + name + ": ");
-    if (at == head.npos) return "";
-    const std::size_t from = at + name.size() + 4;
-    return head.substr(from, head.find("\r\n", from) - from);
-  }
-
-  static void Read(bufferevent* b, void* self) {
-    auto* c = static_cast<Client*>(self);
-    evbuffer* in = bufferevent_get_input(b);
-    std::string text(evbuffer_get_length(in), '\0');
-    evbuffer_copyout(in, text.data(), text.size());
-    const std::size_t head = text.find("\r\n\r\n");
-    if (head == text.npos) return;
-    const std::size_t length = std::stoul(Header(text.substr(0, head + 2), "Content-Length"));
-    if (text.size() < head + 4 + length) return;
-    evbuffer_drain(in, head + 4 + length);
-    c->partner->Called(*c, text.substr(head + 4, length),
-                       Header(text.substr(0, head + 2), "Idempotency-Key"));
-  }
-
-  static void Ended(bufferevent*, short what, void* self) {
-    auto* c = static_cast<Client*>(self);
-    if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) c->partner->Close(*c);
-  }
-
-  void Over(Client& c) {
-    if (c.name.empty()) return;
-    open_.erase(open_.find(c.name));
-    c.name.clear();
-    --out;
-  }
-  void Close(Client& c) {
-    Over(c);
-    late_.insert(late_.end(), std::make_move_iterator(c.timers.begin()),
-                 std::make_move_iterator(c.timers.end()));
-    clients_.erase(&c);
+  static lab::PartnerSettings Settings(Duration memory) {
+    lab::PartnerSettings settings;
+    settings.key_memory_ms = static_cast<double>(memory / 1ms);
+    return settings;
   }
-
-  void Called(Client& c, const std::string& name, const std::string& key) {
-    if (open_.contains(name)) ++second_copies;
-    open_.insert(name);
-    c.name = name;
-    most_out = std::max(most_out, ++out);
-    if (++calls[name] > 6) ++too_many_calls;
-    boost::random::uniform_int_distribution<std::size_t> draw(0, menu.size() - 1);
-    const Fault fault = menu[draw(random_)];
-    const bool ran = draw(random_) % 2 == 0;
-    if (pause > Duration(0))
-      return After(c, pause, [this, &c, name, key, fault, ran] { Do(c, name, key, fault, ran); });
-    Do(c, name, key, fault, ran);
+  static lab::Repeat KindOf(const std::string& name) {
+    return name[0] == 'p' ? lab::Repeat::kNever : name[0] == 'k' ? lab::Repeat::kKeyed : lab::Repeat::kFree;
   }
-
-  static long Ms() { return static_cast<long>(SteadyTime::clock::now().time_since_epoch() / 1ms); }
-
-  void Do(Client& c, const std::string& name, const std::string& key, Fault fault, bool ran) {
-    seen_[name] +=
-        " " + std::to_string(Ms()) + "/" + std::to_string(static_cast<int>(fault)) + (ran ? "r" : "");
-    switch (fault) {
-      case Fault::kWell:
-        Effect(name, key);
-        ++delivered[name];
-        return Write(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
-      case Fault::kFull:
-        return Write(c, "HTTP/1.1 429 Full\r\nX-Retry-In-Ms: 20\r\nContent-Length: 0\r\n\r\n");
-      case Fault::kShut:
-        return Write(c, "HTTP/1.1 503 Shut\r\nContent-Length: 0\r\n\r\n");
-      case Fault::kError:
-        if (ran) Effect(name, key);
-        return Write(c, "HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n");
-      case Fault::kReset:
-        if (ran) Effect(name, key);
-        return Close(c);
-      case Fault::kSpoilt:
-        Effect(name, key);
-        return Write(c, "HTTP/1.1 500 nonsense\r\nContent-Length: -7\r\n\r\nzzzz");
-      case Fault::kSilentLate:  // given up by the dispatcher, and run later all the same
-        return After(c, 300ms, [this, name, key] { Effect(name, key); });
-      case Fault::kSilent:
-        return;
-    }
-  }
-
-  void Write(Client& c, const std::string& text) {
-    Over(c);
-    bufferevent_write(c.buffers.get(), text.data(), text.size());
-  }
-
-  template <typename F>
-  void After(Client& c, Duration d, F f) {
-    c.timers.push_back(std::make_unique<Timer>(loop_, f));
-    c.timers.back()->After(d);
-  }
-
-  void Effect(const std::string& name, const std::string& key) {
-    const auto now = std::chrono::steady_clock::now();
-    if (name[0] == 'k' && !key.empty()) {
-      const auto known = remembered_.find(key);
-      if (known != remembered_.end() && now - known->second < memory_) {
-        ++dropped_repeats;
-        return;
-      }
-      remembered_[key] = now;
-    }
-    if (++effects[name] > 1 && name[0] != 'a') {
-      ++forbidden_repeats;
-      std::fprintf(stderr, "forbidden repeat of %s:%s now %ld\n", name.c_str(), seen_[name].c_str(), Ms());
-    }
-  }
-
-  Loop& loop_;
   boost::random::mt19937_64 random_;
-  const Duration memory_;
-  ListenerPtr listener_;
-  std::map<Client*, std::unique_ptr<Client>> clients_;
-  std::vector<std::unique_ptr<Timer>> late_;  // of calls that run on without their connection
-  std::multiset<std::string> open_;
-  std::map<std::string, std::string> seen_;       // calls with their faults, for the report of a broken rule
-  std::map<std::string, SteadyTime> remembered_;  // keys that took effect
+  const lab::Timeline timeline_;
+  lab::Checker checker_{lab::Rules{}};
+  lab::Partner partner_;
+
+ public:
+  const std::uint16_t port;
 };
 
 // Clients that hand in messages named KIND + number at a steady rate, and remember what they were answered.
--- a/tests/kept/resend_test.cpp
+++ b/tests/kept/resend_test.cpp
@@ -77,8 +77,9 @@
         assert(at->second.attempts == static_cast<int>(at->second.history.size()));
       }
     }
-    assert(partner.forbidden_repeats == 0 && partner.second_copies == 0 && partner.too_many_calls == 0);
-    assert(partner.most_out <= slots);
+    assert(partner.forbidden_repeats == 0 && partner.Broken("second copy") == 0 &&
+           partner.Broken("too many attempts") == 0);
+    assert(partner.most_out() <= slots);
   }
 
   Partner partner;
@@ -92,8 +93,8 @@
   KeptWorld w(7);
   // Mostly what a partner says at once; long silences would be an outage, with one call a second.
   using enum Fault;
-  w.partner.menu = {kFull,  kFull,  kShut,  kShut,   kError,      kError,  kError, kError, kError,
-                    kReset, kReset, kReset, kSpoilt, kSilentLate, kSilent, kError, kReset};
+  w.partner.menu = {kFull,  kFull,  kRefuse, kRefuse, kError, kError,  kError, kError, kError,
+                    kReset, kReset, kReset,  kSpoilt, kLate,  kSilent, kError, kReset};
   w.partner.menu.resize(30, kWell);
   w.Start();
   w.clients.Start(4ms);
@@ -117,8 +118,8 @@
     ++grounds[k.ground];
     ++reasons[std::string(kept::Name(k.reason))];
   }
-  std::printf("kept %zu, delivered by resend %d, dropped as repeats by key %d\n", stored.size(), delivered,
-              w.partner.dropped_repeats);
+  std::printf("kept %zu, delivered by resend %d, dropped as repeats by key %ld\n", stored.size(), delivered,
+              w.partner.dropped_repeats());
   for (const auto& [ground, n] : grounds) std::printf("  ground '%s': %d\n", ground.c_str(), n);
   for (const auto& [reason, n] : reasons) std::printf("  reason '%s': %d\n", reason.c_str(), n);
   std::fflush(stdout);
--- /dev/null
+++ b/tests/lab/arrivals_test.cpp
@@ -0,0 +1,277 @@
+// Distributions and arrival processes against what theory says of them, with fixed seeds.
+#undef NDEBUG
+#include <boost/math/distributions/chi_squared.hpp>
+#include <cassert>
+#include <cmath>
+#include <cstdio>
+#include <map>
+#include <nlohmann/json.hpp>
+
+#include "lab/load/plan.h"
+
+namespace sagetally::lab {
+namespace {
+
+// The chance that a sample of the distribution lies at least so far off, by 50 bins of equal chance.
+double ChiSquared(const Distribution& d, const std::vector<double>& sample) {
+  constexpr int kBins = 50;
+  std::vector<double> bins(kBins);
+  for (const double x : sample)
+    ++bins[std::min<std::size_t>(kBins - 1, static_cast<std::size_t>(d.Cdf(x) * kBins))];
+  const double expected = static_cast<double>(sample.size()) / kBins;
+  double statistic = 0;
+  for (const double n : bins) statistic += (n - expected) * (n - expected) / expected;
+  return boost::math::cdf(boost::math::complement(boost::math::chi_squared(kBins - 1), statistic));
+}
+
+void DistributionsAreWhatTheySay() {
+  const std::pair<const char*, Distribution> table[] = {
+      {"exponential", Distribution::Exponential(3)},   {"uniform", Distribution::Uniform(1, 4)},
+      {"lognormal", Distribution::Lognormal(20, 1.5)}, {"gamma", Distribution::Gamma(5, 0.7)},
+      {"weibull", Distribution::Weibull(2, 0.8)},      {"pareto", Distribution::Pareto(10, 3.5)},
+      {"gamma, bell", Distribution::Gamma(5, 12)}};
+  for (const auto& [name, d] : table) {
+    Random random = Stream(11, name);
+    std::vector<double> sample;
+    double sum = 0, squares = 0;
+    constexpr int kCount = 50'000;
+    for (int i = 0; i < kCount; ++i) {
+      sample.push_back(d.Draw(random));
+      sum += sample.back();
+      squares += sample.back() * sample.back();
+    }
+    const double mean = sum / kCount, variance = squares / kCount - mean * mean;
+    assert(std::abs(mean - d.Mean()) < 4 * std::sqrt(d.Variance() / kCount));
+    assert(std::abs(variance / d.Variance() - 1) < 0.25);
+    assert(ChiSquared(d, sample) > 0.001);
+    // The test can tell them apart: a mean that is a twentieth off is found.
+    std::vector<double> off;
+    for (const double x : sample) off.push_back(x * 1.05);
+    assert(ChiSquared(d, off) < 0.001);
+  }
+  assert(std::isinf(Distribution::Pareto(10, 1.5).Variance()) && Distribution::Constant(7).Variance() == 0);
+}
+
+void BadDistributionsAreRefused() {
+  for (const char* text :
+       {R"({"kind":"gamma","mean":3})", R"({"kind":"pareto","mean":3,"alpha":1})", R"({"kind":"x","mean":1})",
+        R"({"kind":"exponential","mean":0})", R"({"kind":"uniform","from":3,"to":2})",
+        R"({"kind":"constant","value":-1})", R"({"mean":3})", R"({"kind":"weibull","mean":"a","shape":1})"}) {
+    bool refused = false;
+    try {
+      Distribution::FromJson(nlohmann::json::parse(text));
+    } catch (const std::runtime_error&) {
+      refused = true;
+    }
+    assert(refused);
+  }
+}
+
+// Spacings in operational time, where a ramp's arrivals are a plain process again.
+void ARampStretchesSpacingsExactly() {
+  const Distribution spacings[] = {Distribution::Exponential(1), Distribution::Gamma(1, 4),
+                                   Distribution::Lognormal(1, 0.5)};
+  for (const Distribution& spacing : spacings) {
+    // 100 a second rising to 300 in 100 s, then constant.
+    Arrivals arrivals(spacing, SteppedRate({{0, 100, true}, {100, 300, false}}), Stream(5, "ramp"));
+    const auto passed = [](double t) { return t < 100 ? 100 * t + t * t : 20'000 + 300 * (t - 100); };
+    std::vector<double> sample;
+    double last = 0;
+    for (int i = 0; i < 30'000; ++i) {
+      const double t = arrivals.Next();
+      assert(passed(t) >= last);
+      sample.push_back(passed(t) - last);
+      last = passed(t);
+    }
+    assert(ChiSquared(spacing, sample) > 0.001);
+  }
+}
+
+std::vector<int> CountsBySecond(Arrivals& arrivals, int seconds) {
+  std::vector<int> counts(static_cast<std::size_t>(seconds));
+  for (double t = arrivals.Next(); t < seconds; t = arrivals.Next()) ++counts[static_cast<std::size_t>(t)];
+  return counts;
+}
+
+std::pair<double, double> MeanAndVariance(const std::vector<int>& counts) {
+  double sum = 0, squares = 0;
+  for (const int n : counts) sum += n, squares += static_cast<double>(n) * n;
+  const auto size = static_cast<double>(counts.size());
+  return {sum / size, squares / size - sum / size * (sum / size)};
+}
+
+void CountsHaveTheirMeanAndVariance() {
+  {
+    Arrivals poisson(Distribution::Exponential(1), ConstantRate(40), Stream(3, "poisson"));
+    const auto [mean, variance] = MeanAndVariance(CountsBySecond(poisson, 5000));
+    assert(std::abs(mean - 40) < 4 * std::sqrt(40.0 / 5000) && std::abs(variance / 40 - 1) < 0.08);
+  }
+  {
+    Arrivals constant(Distribution::Constant(1), ConstantRate(40), Stream(3, "constant"));
+    const auto [mean, variance] = MeanAndVariance(CountsBySecond(constant, 500));
+    assert(std::abs(mean - 40) < 0.1 && variance < 0.1);
+  }
+  {
+    // A renewal process: variance over mean tends to the squared coefficient of variation, here 4.
+    Arrivals gamma(Distribution::Gamma(1, 0.25), ConstantRate(40), Stream(3, "gamma"));
+    const auto [mean, variance] = MeanAndVariance(CountsBySecond(gamma, 20'000));
+    assert(std::abs(mean / 40 - 1) < 0.02 && std::abs(variance / mean / 4 - 1) < 0.12);
+  }
+  {
+    // Two states: mean and asymptotic index of dispersion (Heffes and Lucantoni, 1986), at windows of 100 s
+    // where stays of 2 s and 1 s have long been forgotten.
+    const double low = 20, high = 200, leave_low = 0.5, leave_high = 1;
+    Arrivals bursts(Distribution::Exponential(1),
+                    BurstyRate(low, high, 1 / leave_low, 1 / leave_high, Stream(3, "stays")),
+                    Stream(3, "bursts"));
+    const std::vector<int> seconds = CountsBySecond(bursts, 200'000);
+    std::vector<int> windows;
+    for (std::size_t i = 0; i < seconds.size(); i += 100) {
+      int sum = 0;
+      for (std::size_t j = i; j < i + 100; ++j) sum += seconds[j];
+      windows.push_back(sum);
+    }
+    const auto [mean, variance] = MeanAndVariance(windows);
+    const double rate = (low * leave_high + high * leave_low) / (leave_low + leave_high);
+    const double all = leave_low + leave_high;
+    const double index = 1 + 2 * (low - high) * (low - high) * leave_low * leave_high /
+                                 (all * all * (low * leave_high + high * leave_low));
+    assert(std::abs(mean / 100 / rate - 1) < 0.02 && std::abs(variance / mean / index - 1) < 0.15);
+  }
+}
+
+void CurvesHaveTheirShape() {
+  Arrivals daily(Distribution::Constant(1), DailyRate({1, 3, 2, 2}, 40, 100), Stream(1, "day"));
+  const std::vector<int> counts = CountsBySecond(daily, 80);
+  int first = 0, second = 0;
+  for (int i = 0; i < 40; ++i)
+    first += counts[static_cast<std::size_t>(i)], second += counts[static_cast<std::size_t>(i + 40)];
+  assert(std::abs(first - 4000) <= 1 && std::abs(second - 4000) <= 1);
+  assert(std::abs(counts[0] - 55) <= 3 && std::abs(counts[9] - 145) <= 3 && std::abs(counts[40] - 55) <= 3);
+  Arrivals none(Distribution::Exponential(1), ConstantRate(0), Stream(1, "none"));
+  assert(std::isinf(none.Next()));
+  Arrivals late(Distribution::Constant(1), SteppedRate({{0, 0, false}, {5, 1, false}, {8, 0, false}}),
+                Stream(1, "late"));
+  assert(std::abs(late.Next() - 6) < 1e-6 && std::abs(late.Next() - 7) < 1e-6 &&
+         std::abs(late.Next() - 8) < 1e-6);
+  assert(std::isinf(late.Next()));
+  bool refused = false;
+  try {
+    SteppedRate({{5, 1, false}, {2, 1, false}});
+  } catch (const std::runtime_error&) {
+    refused = true;
+  }
+  assert(refused);
+}
+
+nlohmann::json Base() {
+  return nlohmann::json::parse(R"({"targets":["127.0.0.1:1"],"seconds":100,"seed":9,
+    "arrivals":{"rate":200},"classes":[{"name":"a","weight":3},{"name":"b","weight":1}],
+    "destinations":{"first":5,"count":10,"zipf":1},
+    "callers":{"count":8,"hot":{"share":0.21,"from_s":40,"for_s":20}}})");
+}
+
+std::vector<Planned> All(const Scenario& scenario) {
+  Plan plan(scenario);
+  std::vector<Planned> all;
+  while (const auto p = plan.Next()) all.push_back(*p);
+  return all;
+}
+
+void PlansAreDrawnFromTheirSeedAlone() {
+  const std::vector<Planned> all = All(ScenarioFromJson(Base()));
+  assert(all == All(ScenarioFromJson(Base())));
+  nlohmann::json other = Base();
+  other["seed"] = 10;
+  assert(all != All(ScenarioFromJson(other)));
+  std::map<int, double> classes, destinations;
+  double hot = 0, in_hot = 0, zero_before = 0;
+  for (std::size_t i = 0; i < all.size(); ++i) {
+    assert(all[i].number == static_cast<std::int64_t>(i) && (i == 0 || all[i].at_us >= all[i - 1].at_us));
+    ++classes[all[i].message_class];
+    const bool during = all[i].at_us >= 40'000'000 && all[i].at_us < 60'000'000;
+    if (!during) ++destinations[all[i].destination], zero_before += all[i].caller == 0;
+    if (during) ++in_hot, hot += all[i].caller == 0;
+  }
+  const auto count = static_cast<double>(all.size());
+  assert(std::abs(count - 20'000) < 4 * std::sqrt(20'000.0));
+  assert(std::abs(classes[0] / count - 0.75) < 0.02 && zero_before == 0);
+  assert(std::abs(hot / in_hot - 0.21) < 0.03);
+  double harmonic = 0;
+  for (int n = 1; n <= 10; ++n) harmonic += 1.0 / n;
+  for (int n = 1; n <= 10; ++n) {
+    const double share = 1 / (n * harmonic), of = count - in_hot;
+    assert(std::abs(destinations[4 + n] / of - share) < 4 * std::sqrt(share / of));
+  }
+}
+
+void ClumpsBringOneDestinationsWorthAtOnce() {
+  nlohmann::json json = Base();
+  json["arrivals"]["rate"] = 0;
+  json.erase("callers");
+  json["clumps"] = {
+      {"every_s", 5}, {"partner_rate", 40}, {"over_ms", 300}, {"worth_least_s", 1}, {"worth_most_s", 3.5}};
+  const std::vector<Planned> all = All(ScenarioFromJson(json));
+  int clumps = 0;
+  for (std::size_t i = 0; i < all.size();) {
+    std::size_t j = i;  // those of one destination within the spread
+    while (j < all.size() && all[j].at_us - all[i].at_us < 300'000 &&
+           all[j].destination == all[i].destination)
+      ++j;
+    if (j == all.size() || all[j].at_us - all[j - 1].at_us > 100'000) {
+      const auto size = static_cast<double>(j - i);
+      if (size >= 39 && size <= 141) ++clumps;
+    }
+    i = j;
+  }
+  assert(clumps >= 8 && clumps <= 32);
+}
+
+void HandInsAreNamedAndReadBack() {
+  const HandInId id{0xdeadbeef, 1234567, 2, 25, Repeat::kNever};
+  assert(ToText(id) == "Ldeadbeef-1234567-2-25-n" && ParseHandInId(ToText(id)) == id);
+  assert(ParseHandInId("/lab/caller-3|" + ToText(id)) == id);
+  for (const char* text :
+       {"", "L", "Ldeadbeef-1-0-25", "Ldeadbeef-1-0-25-x", "Xdeadbeef-1-0-25-n", "Ldeadbee-1-0-25-n",
+        "Ldeadbeef--1-0-25-n", "Ldeadbeef-1-0-25-n ", "Ldeadbeef-99999999999999999999-0-25-n"})
+    assert(!ParseHandInId(text));
+}
+
+void ScenariosSayWhatIsWrong() {
+  const std::pair<const char*, const char*> table[] = {
+      {R"({})", "/targets"},
+      {R"({"targets":["x"]})", "/targets"},
+      {R"({"targets":["127.0.0.1:1"],"seconds":-1})", "/seconds"},
+      {R"({"targets":["127.0.0.1:1"],"front":"x"})", "/front"},
+      {R"({"targets":["127.0.0.1:1"],"arrivals":{"rat":3}})", "/arrivals/rat"},
+      {R"({"targets":["127.0.0.1:1"],"body_bytes":{"kind":"pareto"}})", "/body_bytes"},
+      {R"({"targets":["127.0.0.1:1"],"clumps":{"worth_least_s":3,"worth_most_s":2}})",
+       "/clumps/worth_most_s"}};
+  for (const auto& [text, place] : table) {
+    std::string what;
+    try {
+      ScenarioFromJson(nlohmann::json::parse(text));
+    } catch (const std::exception& error) {
+      what = error.what();
+    }
+    if (!what.starts_with(place)) std::fprintf(stderr, "%s: %s\n", text, what.c_str());
+    assert(what.starts_with(place));
+  }
+}
+
+}  // namespace
+}  // namespace sagetally::lab
+
+int main() {
+  using namespace sagetally::lab;
+  DistributionsAreWhatTheySay();
+  BadDistributionsAreRefused();
+  ARampStretchesSpacingsExactly();
+  CountsHaveTheirMeanAndVariance();
+  CurvesHaveTheirShape();
+  PlansAreDrawnFromTheirSeedAlone();
+  ClumpsBringOneDestinationsWorthAtOnce();
+  HandInsAreNamedAndReadBack();
+  ScenariosSayWhatIsWrong();
+  std::puts("9 passed, 0 failed");
+}
--- a/tests/node/roles_test.cpp
+++ b/tests/node/roles_test.cpp
@@ -2,82 +2,17 @@
 #include <set>
 
 #include "app/forwarder.h"
+#include "lab/standin/registry.h"
 #include "registry/planners.h"
 #include "world.h"
 
 namespace sagetally {
 namespace {
 
-// The registry: apps by POST, PUT and DELETE; whole lists and deltas by GET.
-class StandInEureka {
- public:
-  explicit StandInEureka(Loop& loop)
-      : server_(loop, {"127.0.0.1", 0}, {1 << 20, 200}, [this](std::shared_ptr<Exchange> e) { Asked(*e); }) {}
-  std::uint16_t port() const { return server_.port(); }
-  void Put(const std::string& app, const std::string& id, std::uint16_t port, const std::string& more = "") {
-    const std::string text =
-        "{\"instanceId\":\"" + id + "\",\"hostName\":\"h\",\"ipAddr\":\"127.0.0.1\"," + "\"app\":\"" + app +
-        "\",\"status\":\"UP\",\"port\":{\"$\":" + std::to_string(port) + ",\"@enabled\":\"true\"}" + more;
-    instances[{app, id}] = text;
-    changes.push_back({app, text + ",\"actionType\":\"ADDED\"}"});
-  }
-  void Remove(const std::string& app, const std::string& id) {
-    const auto at = instances.find({app, id});
-    if (at == instances.end()) return;
-    changes.push_back({app, at->second + ",\"actionType\":\"DELETED\"}"});
-    instances.erase(at);
-  }
-
-  std::map<std::pair<std::string, std::string>, std::string> instances;
-  std::vector<std::pair<std::string, std::string>> changes;
-  std::vector<std::string> asked;
-  bool forgetful = false;  // answers the next renewal with 404
-
- private:
-  void Asked(Exchange& e) {
-    const std::string path = e.path(), method = e.method();
-    asked.push_back(method + " " + path);
-    assert(path.starts_with("/eureka/apps"));
-    std::string rest = path.substr(12);
-    if (method == "GET") {
-      std::string apps;
-      const auto add = [&](const std::string& app, const std::string& text) {
-        apps += (apps.empty() ? "" : ",") + ("{\"name\":\"" + app + "\",\"instance\":[" + text + "]}");
-      };
-      if (rest == "/delta") {
-        for (const auto& [app, text] : changes) add(app, text);
-      } else {
-        for (const auto& [key, text] : instances) add(key.first, text + "}");
-      }
-      const std::string hash = instances.empty() ? "" : "UP_" + std::to_string(instances.size()) + "_";
-      e.Answer(200, "{\"applications\":{\"versions__delta\":\"1\",\"apps__hashcode\":\"" + hash +
-                        "\",\"application\":[" + apps + "]}}");
-      return;
-    }
-    rest.erase(0, 1);
-    const std::string app = rest.substr(0, rest.find('/'));
-    const std::string id = rest.find('/') == rest.npos ? "" : rest.substr(rest.find('/') + 1);
-    if (method == "POST") {
-      simdjson::dom::parser parser;
-      const std::string body = e.body();
-      const json::Value instance = json::Need(parser.parse(body).value(), "instance");
-      Put(app, json::Get<std::string>(instance, "instanceId"),
-          json::Get<std::uint16_t>(json::Need(instance, "port"), "$"));
-      e.Answer(204);
-    } else if (method == "PUT") {
-      e.Answer(std::exchange(forgetful, false) || !instances.contains({app, id}) ? 404 : 200);
-    } else {
-      Remove(app, id);
-      e.Answer(200);
-    }
-  }
-  Server server_;
-};
-
 // Planners and a forwarder on the world's loop; the world's endpoint serves destinations 0 to 9.
 struct Levels {
   explicit Levels(int planners) {
-    registry = std::make_unique<StandInEureka>(w.loop);
+    registry = std::make_unique<lab::Registry>(w.loop);
     for (int d = 0; d < 10; ++d) {
       registry->Put("PARTNERS", "e" + std::to_string(d), w.ports[0],
                     ",\"metadata\":{\"destination\":\"" + std::to_string(d) + "\",\"rate\":\"50\"}");
@@ -123,7 +58,7 @@
 
   World w;
   const Config config = ParseConfig(w.ConfigText(), [](const char*) { return nullptr; });
-  std::unique_ptr<StandInEureka> registry;
+  std::unique_ptr<lab::Registry> registry;
   std::vector<std::unique_ptr<Folder>> folders;
   std::vector<std::unique_ptr<Dispatcher>> planners;
   std::unique_ptr<Forwarder> forwarder;
--- a/tests/node/rules_test.cpp
+++ b/tests/node/rules_test.cpp
@@ -182,7 +182,7 @@
 // What uses discovery goes on at the new address after the version heard; calls and held messages go on.
 void ANewConfigurationMovesWatchAndNotices() {
   World w(1, 1);
-  StandInAgent other(w.loop);
+  lab::Agent other(w.loop);
   w.endpoints[0]->otherwise = 0;
   w.Start();
   Until(w.loop, [&] { return w.agent.watch != nullptr; });
@@ -199,7 +199,7 @@
   }
   assert(refused);  // and nothing of it was taken over
   next.peer_listen = "";
-  next.discovery.port = other.port;
+  next.discovery.port = other.port();
   w.dispatcher->Reload(next);
   Until(w.loop, [&] { return other.watch != nullptr; });
   assert(w.agent.asked.size() == 1 && other.asked[0].ends_with("after=42"));
--- a/tests/node/world.h
+++ b/tests/node/world.h
@@ -22,6 +22,7 @@
 #include <vector>
 
 #include "app/dispatcher.h"
+#include "lab/standin/agent.h"
 
 namespace sagetally {
 
@@ -71,92 +72,40 @@
 class StandInEndpoint {
  public:
   explicit StandInEndpoint(Loop& loop)
-      : server_(loop, {"127.0.0.1", 0}, {1 << 20, 200, 64 << 10},
-                [this](std::shared_ptr<Exchange> e) { Called(e); }) {}
-  std::uint16_t port() const { return server_.port(); }
+      : listener_(loop, {"127.0.0.1", 0}, [this](const std::shared_ptr<lab::Call>& call) { Called(call); }) {}
+  std::uint16_t port() const { return listener_.port(); }
   void Release() {  // answers what is held with 200, and all that comes
     script.clear();
     otherwise = 200;
-    for (const auto& e : std::exchange(held, {})) e->Answer(200);
+    for (const auto& call : std::exchange(held, {})) call->Answer(200);
   }
 
   std::vector<Seen> calls;
   std::deque<int> script;
   int otherwise = 200;
   Headers headers;  // with answers other than 200
-  std::vector<std::shared_ptr<Exchange>> held;
+  std::vector<std::shared_ptr<lab::Call>> held;
 
  private:
-  void Called(const std::shared_ptr<Exchange>& e) {
-    assert(e->path() == "/hook");
-    calls.push_back({e->Header("X-Request-Id"), e->Header("Idempotency-Key"), e->Header("X-Deadline"),
-                     e->body(), e->headers(), std::chrono::steady_clock::now()});
+  void Called(const std::shared_ptr<lab::Call>& call) {
+    assert(call->target == "/hook");
+    calls.push_back({call->Header("X-Request-Id"), call->Header("Idempotency-Key"),
+                     call->Header("X-Deadline"), call->body, call->headers,
+                     std::chrono::steady_clock::now()});
     int code = otherwise;
     if (!script.empty()) {
       code = script.front();
       script.pop_front();
     }
     if (code == 0) {
-      held.push_back(e);
+      held.push_back(call);
+    } else if (code == -1) {
+      call->Reset();
     } else {
-      e->Answer(code, "", code == 200 ? Headers{} : headers);
+      call->Answer(code, "", code == 200 ? Headers{} : headers);
     }
   }
-  Server server_;
-};
-
-// The platform's agent: a watch that says what it is told to, and notices.
-class StandInAgent {
- public:
-  explicit StandInAgent(Loop& loop) : http_(evhttp_new(loop.base())) {
-    evhttp_set_gencb(http_.get(), Asked, this);
-    auto* bound = evhttp_bind_socket_with_handle(http_.get(), "127.0.0.1", 0);
-    sockaddr_in at{};
-    socklen_t size = sizeof at;
-    getsockname(evhttp_bound_socket_get_fd(bound), reinterpret_cast<sockaddr*>(&at), &size);
-    port = ntohs(at.sin_port);
-  }
-  ~StandInAgent() { FreeOrphan(); }
-  void Say(const std::string& line) {
-    evbuffer* out = evbuffer_new();
-    evbuffer_add_printf(out, "%s\n", line.c_str());
-    evhttp_send_reply_chunk(watch, out);
-    evbuffer_free(out);
-  }
-  void EndWatch() { evhttp_send_reply_end(std::exchange(watch, nullptr)); }
-  bool Told(const std::string& line) const { return notices.find(line) != std::string::npos; }
-
-  std::uint16_t port = 0;
-  evhttp_request* watch = nullptr;
-  std::vector<std::string> asked;  // targets of watches
-  std::string notices;
-  std::deque<int> script;  // of the answers to notices
-
- private:
-  void FreeOrphan() {  // a request whose client has gone is its handler's to free
-    if (watch != nullptr && evhttp_request_get_connection(watch) == nullptr) evhttp_request_free(watch);
-  }
-  static void Asked(evhttp_request* request, void* self) {
-    auto* a = static_cast<StandInAgent*>(self);
-    const std::string target = evhttp_request_get_uri(request);
-    if (target.starts_with("/v1/servers")) {
-      a->asked.push_back(target);
-      a->FreeOrphan();
-      a->watch = request;
-      evhttp_send_reply_start(request, 200, "OK");
-      return;
-    }
-    int code = 204;
-    if (!a->script.empty()) {
-      code = a->script.front();
-      a->script.pop_front();
-    }
-    evbuffer* in = evhttp_request_get_input_buffer(request);
-    const std::string text(reinterpret_cast<char*>(evbuffer_pullup(in, -1)), evbuffer_get_length(in));
-    if (code == 204) a->notices += text;
-    evhttp_send_reply(request, code, nullptr, nullptr);
-  }
-  HttpPtr http_;
+  lab::Listener listener_;
 };
 
 // One client request on a connection of its own.
@@ -267,7 +216,7 @@
     return R"({"rev":41,"all":true,"targets":[)" + all + "]}";
   }
   std::string ConfigText() const {
-    return R"({"name":"n0","listen":"127.0.0.1:0","discovery":")" + At(agent.port) + R"(","state":")" +
+    return R"({"name":"n0","listen":"127.0.0.1:0","discovery":")" + At(agent.port()) + R"(","state":")" +
            folder.path + R"(","seed":"1f","limits":{"disk_mb":)" + std::to_string(disk_mb) +
            R"(,"sockets":)" + std::to_string(sockets) + R"(},"known":)" + List() +
            R"(,"settings":{"flavors":["k"],"zones":["z"],"grades":[)" +
@@ -328,7 +277,7 @@
   Logger log;
   Folder folder;
   int slots, most_held, disk_mb = 3, sockets = 256;
-  StandInAgent agent{loop};
+  lab::Agent agent{loop};
   std::vector<std::unique_ptr<StandInEndpoint>> endpoints;
   std::vector<std::uint16_t> ports;
   std::unique_ptr<Server> sink;
