--- a/tests/node/process.sh
+++ b/tests/node/process.sh
@@ -21,6 +21,7 @@
 [ "$(wc -l <err)" = 1 ]
 
 starts() { # line that says it is ready
+  : >out  # else the last run's lines are taken for this one's
   "$program" >out 2>err &
   pid=$!
   until grep -q "$1" out; do
@@ -43,6 +44,7 @@
     sleep 0.02
   done
 }
+: >out
 BALANCER_DISCOVERY=127.0.0.1:2 "$program" >out 2>err &
 pid=$!
 until grep -q " ready " out; do sleep 0.02; done
@@ -74,6 +76,7 @@
 "$program" --version | grep -q "^sagetally [0-9]"
 "$program" kept list --help | grep -q -- --filter
 rm deploy/node.json
+: >out
 "$program" --log-format json >out 2>err &
 pid=$!
 until grep -q '"event":"ready","name":"n0"' out; do sleep 0.02; done
