Reports name each fault of the timeline, and who was due during it

A report drew faults but did not say what they cost. Stand-ins write their timeline into what they record, load takes it over, and a table tells for each fault how many messages were due, taken, in aim and kept waiting. lab_load: a pause of 3 s under 500/s is met by 1,500 messages.

--- a/src/lab/cli.cpp
+++ b/src/lab/cli.cpp
@@ -84,9 +84,14 @@
     options.progress = ShowLoad;
     const RunRecords run = RunLoad(scenario, options);
     std::vector<Sighting> sightings;
+    std::vector<FaultSpan> faults;
     for (const std::string& path : o.observed) {
-      const std::vector<Sighting> more = ReadSightings(path);
-      sightings.insert(sightings.end(), more.begin(), more.end());
+      Observed more = ReadObserved(path);
+      sightings.insert(sightings.end(), more.sightings.begin(), more.sightings.end());
+      for (FaultSpan& fault : more.faults) {
+        fault.from_ms -= static_cast<double>(run.start_us - more.started_us) / 1000;
+        faults.push_back(fault);
+      }
     }
     std::string name = o.name.empty() ? (o.scenario.empty() ? "load" : o.scenario) : o.name;
     std::string path = o.output;
@@ -95,7 +100,8 @@
       path.insert(path.size() - std::filesystem::path(path).extension().string().size(),
                   "-" + std::to_string(i + 1));
     }
-    const Result result = MakeResult(name, scenario, run, sightings, !o.observed.empty());
+    const Result result =
+        MakeResult(name, scenario, run, sightings, !o.observed.empty(), Timeline(std::move(faults)));
     PrintResult(result, std::cout);
     WriteResult(result, path);
     std::cout << "result: " << path << std::endl;
@@ -171,6 +177,10 @@
     if (!record) throw std::runtime_error(o.record + ": can't be written");
   }
   StandIns standins(loop, settings);
+  if (record.is_open()) {
+    WriteHead(record, standins.started_us(), settings.timeline);
+    record.flush();
+  }
   standins.on_sighting = [&](const Sighting& sighting) {
     if (record.is_open()) Write(record, sighting);
   };
--- a/src/lab/report/record.h
+++ b/src/lab/report/record.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "lab/load/plan.h"
+#include "lab/standin/timeline.h"
 
 namespace sagetally::lab {
 
@@ -36,10 +37,17 @@
   std::string id;  // as it came: of a hand-in
 };
 
-// One JSON value a line.
+struct Observed {  // a stand-in's file
+  std::vector<Sighting> sightings;
+  std::int64_t started_us = 0;    // time 0 of its timeline
+  std::vector<FaultSpan> faults;  // from that time on
+};
+
+// One JSON value a line; the first is the head.
+void WriteHead(std::ostream& out, std::int64_t started_us, const Timeline& timeline);
 void Write(std::ostream& out, const Sighting& sighting);
 // Throws std::runtime_error naming file and line.
-std::vector<Sighting> ReadSightings(const std::string& path);
+Observed ReadObserved(const std::string& path);
 
 }  // namespace sagetally::lab
 
--- a/src/lab/standin/timeline.cpp
+++ b/src/lab/standin/timeline.cpp
@@ -37,6 +37,21 @@
   return Timeline(std::move(spans));
 }
 
+nlohmann::json Timeline::ToJson() const {
+  nlohmann::json list = nlohmann::json::array();
+  for (const FaultSpan& s : spans_) {
+    list.push_back({{"fault", Name(s.fault)},
+                    {"at_ms", s.from_ms},
+                    {"for_ms", s.for_ms},
+                    {"endpoint", s.endpoint},
+                    {"share", s.share},
+                    {"ms", s.ms},
+                    {"times", s.times}});
+    if (s.destination) list.back()["destination"] = *s.destination;
+  }
+  return list;
+}
+
 FaultSpan Timeline::Draw(double now_ms, const std::string& endpoint, int destination, Random& random) const {
   for (const FaultSpan& s : spans_) {
     if (s.OfListener() || !s.At(now_ms, endpoint, destination)) continue;
--- a/src/lab/standin/timeline.h
+++ b/src/lab/standin/timeline.h
@@ -49,6 +49,7 @@
   Timeline() = default;
   explicit Timeline(std::vector<FaultSpan> spans) : spans_(std::move(spans)) {}
   static Timeline FromJson(const nlohmann::json& list);  // validated by the stand-ins' schema
+  nlohmann::json ToJson() const;
   const std::vector<FaultSpan>& spans() const { return spans_; }
   // What befalls a call now: the first span that holds and draws it.
   FaultSpan Draw(double now_ms, const std::string& endpoint, int destination, Random& random) const;
--- a/src/lab/try/try.cpp
+++ b/src/lab/try/try.cpp
@@ -89,11 +89,13 @@
     timeline.push_back({{"fault", "shut"},
                         {"at_ms", o.seconds * 400},
                         {"for_ms", o.seconds * 150},
-                        {"endpoint", "partner-1"}});
+                        {"endpoint", "partner-1"},
+                        {"destination", 1}});
     timeline.push_back({{"fault", "error"},
                         {"at_ms", o.seconds * 650},
                         {"for_ms", o.seconds * 100},
                         {"endpoint", "partner-2"},
+                        {"destination", 2},
                         {"share", 0.3}});
   }
   return {{"seed", o.seed},          {"rules", {{"slots", 0}, {"repeat_window_ms", 10000}}},
--- a/tests/lab/cli.sh
+++ b/tests/lab/cli.sh
@@ -49,6 +49,7 @@
 expect 0 "result: b-2.json" "$lab" load --targets "127.0.0.1:$port" --trace trace.jsonl --seconds 5 --drain_s 0 \
   --valid.lag_ms 100 --valid.share 0.5 --valid.run_queue_share 1 --repeat 2 --output b.json
 expect 0 "" grep -q '"unwatched"' a-1.json
+expect 0 "due during" "$lab" load scenario.json --observed seen.jsonl --output c.json --arrivals.rate 0
 expect 0 "share taken" "$lab" compare a-1.json a-2.json --with b-1.json b-2.json
 expect 0 '"verdict"' "$lab" compare a-1.json --with b-1.json --json
 expect 0 "report: report/report.html" "$lab" report a-1.json a-2.json
--- a/tests/lab/load_test.cpp
+++ b/tests/lab/load_test.cpp
@@ -67,7 +67,8 @@
 // A pause of 3 s under 500 messages a second. Each message that was due meanwhile is charged for it; a client
 // that times its own sends sees it on its few connections only.
 void APauseIsReportedInFull() {
-  StandInThread standins(FrontWith({{{"fault", "pause"}, {"at_ms", 1500}, {"for_ms", 3000}}}));
+  const StandInSettings settings = FrontWith({{{"fault", "pause"}, {"at_ms", 1500}, {"for_ms", 3000}}});
+  StandInThread standins(settings);
   Json json = Base(standins.front_port);
   json["seconds"] = 8;
   json["connections"] = 4;
@@ -89,6 +90,15 @@
       met, corrected.Over(20'000), corrected.Quantile(0.999) / 1000, corrected.max() / 1000,
       as_sent.Over(20'000), as_sent.Quantile(0.999) / 1000);
   assert(std::abs(met / 1500.0 - 1) < 0.02 && corrected.Over(20'000) >= met - 12);
+  // The report names the fault, and who was due during it.
+  std::vector<FaultSpan> spans = settings.timeline.spans();
+  spans[0].from_ms -= static_cast<double>(ran.records.start_us - standins.started_us) / 1000;
+  const Result result =
+      MakeResult("pause", ScenarioFromJson(json), ran.records, standins.Sightings(), true, Timeline(spans));
+  assert(result.met.size() == 1 && std::abs(static_cast<double>(result.met[0].waited) / 1500 - 1) < 0.02);
+  assert(result.met[0].answer_max_us == corrected.max());
+  const Result read = ResultFromJson(ToJson(result));
+  assert(read.met[0].waited == result.met[0].waited && read.faults[0].from_ms == spans[0].from_ms);
   assert(as_sent.Over(20'000) <= 4 && as_sent.Quantile(0.99) < 0.1 * corrected.Quantile(0.99));
   double longest = 0;
   for (const Bucket& b : account.series) longest = std::max(longest, b.corrected_max);
