--- a/bench/lab_limits.sh
+++ b/bench/lab_limits.sh
@@ -21,7 +21,7 @@
     threads=$(( (${#cores} + 1) / 2 ))
     echo "generator on $threads core(s), stand-in front on one:"
     taskset -c $cores "$lab" limit --targets 127.0.0.1:$port --connections 64 --threads $threads --from 2000 --to 200000 \
-      --probe-s 3 --confirm-s 20 --p99-ms 1000000 --lag-p99-ms 1 --answer_ms 0 --hand_ins_again 0 || true
+      --probe-s ${PROBE:-3} --confirm-s ${CONFIRM:-20} --p99-ms 1000000 --lag-p99-ms 1 --answer_ms 0 --hand_ins_again 0 || true
   done
   exit
 fi
