Hold one copy each of flags, descriptors, child processes and fault figures

Need: parts of sagetally-lab and the program stood twice: settings as flags, an owned descriptor, the child process of tests, the figures of a fault in account and result, tables of refused texts in tests.

--- a/bench/kept_bench.cpp
+++ b/bench/kept_bench.cpp
@@ -4,31 +4,25 @@
 //   kept_bench resend RATE|0 SECONDS          live traffic beside resends of 20,000 kept messages
 #include <sqlite3.h>
 
-#include <boost/accumulators/accumulators.hpp>
-#include <boost/accumulators/statistics/count.hpp>
-#include <boost/accumulators/statistics/stats.hpp>
-#include <boost/accumulators/statistics/tail_quantile.hpp>
 #include <fstream>
 #include <iostream>
 
 #include "../tests/node/world.h"
 #include "kept/files.h"
+#include "lab/report/histogram.h"
 
 namespace sagetally {
 namespace {
 
-namespace acc = boost::accumulators;
 using Clock = std::chrono::steady_clock;
 
 struct Times {
-  static constexpr std::size_t kMost = 1'000'000;
-  acc::accumulator_set<double, acc::stats<acc::tag::count, acc::tag::tail_quantile<acc::left>>> all{
-      acc::tag::tail<acc::left>::cache_size = kMost};
-  void Add(Clock::duration d) { all(std::chrono::duration<double, std::milli>(d).count()); }
-  double At(double p) { return acc::quantile(all, acc::quantile_probability = p); }
-  void Print(const char* what, double seconds) {
-    std::printf("%s: %zu, %.0f a second, p50 %.3f ms, p99 %.3f ms, p99.9 %.3f ms\n", what, acc::count(all),
-                static_cast<double>(acc::count(all)) / seconds, At(0.5), At(0.99), At(0.999));
+  lab::LatencyHistogram all;
+  void Add(Clock::duration d) { all.Add(std::chrono::duration<double, std::micro>(d).count()); }
+  void Print(const char* what, double seconds) const {
+    std::printf("%s: %ld, %.0f a second, p50 %.3f ms, p99 %.3f ms, p99.9 %.3f ms\n", what, all.count(),
+                static_cast<double>(all.count()) / seconds, all.Quantile(0.5) / 1000,
+                all.Quantile(0.99) / 1000, all.Quantile(0.999) / 1000);
   }
 };
 
--- a/bench/lab_limits.sh
+++ b/bench/lab_limits.sh
@@ -1,6 +1,7 @@
 #!/bin/bash
 # The generator's own limits and the dispatcher's, on cores of their own. Arguments: the build's folder (Release, with
-# sagetally-lab) and what to measure: generator, or dispatcher FRONT BYTES (platform, binary), or overhead.
+# sagetally-lab) and what to measure: generator | limit FRONT BYTES [SECONDS] | profile FRONT BYTES RATE, with FRONT one
+# of platform, binary, structured, batched.
 set -euo pipefail
 build=$(realpath "$1")
 what=$2
@@ -10,7 +11,6 @@
 cd "$work"
 lab=$build/sagetally-lab
 wait_for() { for _ in $(seq 500); do grep -q "$1" "$2" && return; sleep 0.02; done; cat "$2"; exit 1; }
-port_of() { sed -n "s/.* $1 .*port=\([0-9]*\).*/\1/p" "$2" | head -1; }
 
 if [ "$what" = generator ]; then
   taskset -c 3 "$lab" standin front >front.log 2>&1 &
--- a/src/cli/options.cpp
+++ b/src/cli/options.cpp
@@ -1,19 +1,14 @@
 #include "cli/options.h"
 
 #include <CLI/CLI.hpp>
-#include <cstdlib>
-#include <stdexcept>
+
+#include "cli/flags.h"
 
 namespace sagetally {
 namespace {
 
 constexpr int kWrongUsage = 2;
 
-std::string VariableFor(std::string path) {
-  for (char& c : path) c = c == '.' ? '_' : static_cast<char>(std::toupper(static_cast<unsigned char>(c)));
-  return "SAGETALLY_" + path;
-}
-
 void AddCommon(CLI::App& app, Options& o) {
   const auto add = [&](const char* flag, std::string& to, const char* variable, const char* text) {
     app.add_option(flag, to, text)->envname(variable);
@@ -39,14 +34,8 @@
       ->transform(CLI::CheckedTransformer(levels).description(""))
       ->option_text("debug|info|warning|error");
   // Each leaf of the schema is a flag and a variable.
-  for (const SettingName& setting : NodeSettings()) {
-    app.add_option_function<std::string>(
-           "--" + setting.path,
-           [&o, path = setting.path](const std::string& value) { o.node_settings[path] = value; },
-           setting.description)
-        ->envname(VariableFor(setting.path))
-        ->group("Settings of the operator's file, which go before it");
-  }
+  AddSettings(app, NodeSettings(), "SAGETALLY_", o.node_settings,
+              "Settings of the operator's file, which go before it");
 }
 
 void AddKept(CLI::App& app, KeptOptions& k) {
--- a/src/lab/cli.cpp
+++ b/src/lab/cli.cpp
@@ -7,6 +7,7 @@
 #include <fstream>
 #include <iostream>
 
+#include "cli/flags.h"
 #include "lab/interrupt.h"
 #include "lab/load/import.h"
 #include "lab/load/limit.h"
@@ -49,21 +50,7 @@
   bool json = false;
 };
 
-std::string Variable(std::string path) {
-  for (char& c : path) c = c == '.' ? '_' : static_cast<char>(std::toupper(static_cast<unsigned char>(c)));
-  return "SAGETALLY_LAB_" + path;
-}
-
-void AddSettings(CLI::App& app, const nlohmann::json& schema, Overrides& settings, const std::string& group) {
-  for (const SettingName& setting : SettingNames(schema)) {
-    app.add_option_function<std::string>(
-           "--" + setting.path,
-           [&settings, path = setting.path](const std::string& value) { settings[path] = value; },
-           setting.description)
-        ->envname(Variable(setting.path))
-        ->group(group);
-  }
-}
+constexpr char kPrefix[] = "SAGETALLY_LAB_";
 
 void ShowLoad(double seconds, const Progress& p) {
   static std::int64_t last = -1;
@@ -157,15 +144,17 @@
   const auto wanted = [&](const char* kind) {
     return std::find(o.kinds.begin(), o.kinds.end(), kind) != o.kinds.end();
   };
-  if (wanted("agent") && !settings.agent) settings.agent = Address{"127.0.0.1", 0};
-  if (wanted("registry") && !settings.registry) settings.registry = Address{"127.0.0.1", 0};
-  if (wanted("sink") && !settings.sink) settings.sink = Address{"127.0.0.1", 0};
-  if (wanted("front") && !settings.front) settings.front = Address{"127.0.0.1", 0};
+  for (const auto& [kind, address] : {std::pair{"agent", &settings.agent},
+                                      {"registry", &settings.registry},
+                                      {"sink", &settings.sink},
+                                      {"front", &settings.front}}) {
+    if (!wanted(kind)) {
+      address->reset();
+    } else if (!*address) {
+      *address = Address{"127.0.0.1", 0};
+    }
+  }
   if (wanted("partner") && settings.partners.empty()) settings.partners.emplace_back();
-  if (!wanted("agent")) settings.agent.reset();
-  if (!wanted("registry")) settings.registry.reset();
-  if (!wanted("sink")) settings.sink.reset();
-  if (!wanted("front")) settings.front.reset();
   settings.serve_partners = wanted("partner");
   Logger log;
   Loop loop;
@@ -263,11 +252,11 @@
   app.set_version_flag("--version", std::string("sagetally-lab ") + SAGETALLY_VERSION);
   app.require_subcommand(1);
   const auto option = [](CLI::App* sub, const std::string& names, auto& to, const std::string& text) {
-    std::string flag = names.substr(0, names.find(','));
+    const std::string flag = names.substr(0, names.find(','));
     if (!flag.starts_with("--")) return sub->add_option(names, to, text);
-    std::string path = flag.substr(2);
-    std::replace(path.begin(), path.end(), '-', '_');
-    return sub->add_option(names, to, text)->envname(Variable(path))->capture_default_str();
+    return sub->add_option(names, to, text)
+        ->envname(VariableFor(kPrefix, flag.substr(2)))
+        ->capture_default_str();
   };
   const auto with_version = [](CLI::App* sub) {
     sub->set_version_flag("--version", std::string("sagetally-lab ") + SAGETALLY_VERSION);
@@ -304,7 +293,7 @@
   option(load_app, "--name", load.name, "for tables and plots; default: the scenario's file");
   option(load_app, "--repeat", load.repeat, "runs one after another, each with a result of its own")
       ->check(CLI::Range(1, 1000));
-  AddSettings(*load_app, ScenarioSchema(), load.settings,
+  AddSettings(*load_app, SettingNames(ScenarioSchema()), kPrefix, load.settings,
               "Settings of the scenario, which go before the file");
 
   LimitChoice limit;
@@ -323,7 +312,7 @@
       ->check(CLI::PositiveNumber);
   option(limit_app, "--lag-p99-ms", limit.lag_p99_ms, "the generator's own lag that is still trusted")
       ->check(CLI::PositiveNumber);
-  AddSettings(*limit_app, ScenarioSchema(), limit.settings,
+  AddSettings(*limit_app, SettingNames(ScenarioSchema()), kPrefix, limit.settings,
               "Settings of the scenario, which go before the file");
 
   StandInOptions standin;
@@ -334,7 +323,8 @@
       ->check(CLI::IsMember({"partner", "agent", "registry", "sink", "front"}));
   option(standin_app, "--file", standin.file, "a JSON file of deploy/schema/standin.schema.json");
   option(standin_app, "--record", standin.record, "a file for what was seen, for load --observed");
-  AddSettings(*standin_app, StandInSchema(), standin.settings, "Settings of the file, which go before it");
+  AddSettings(*standin_app, SettingNames(StandInSchema()), kPrefix, standin.settings,
+              "Settings of the file, which go before it");
 
   TraceOptions trace;
   CLI::App* trace_app = with_version(app.add_subcommand("trace", "recorded traces"));
--- /dev/null
+++ b/src/lab/clock.h
@@ -0,0 +1,17 @@
+// The time of runs and sightings: microseconds of the machine's monotonic clock, which its processes share.
+#ifndef SAGETALLY_SRC_LAB_CLOCK_H_
+#define SAGETALLY_SRC_LAB_CLOCK_H_
+
+#include <chrono>
+#include <cstdint>
+
+namespace sagetally::lab {
+
+inline std::int64_t NowUs() {
+  const auto now = std::chrono::steady_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::microseconds>(now).count();
+}
+
+}  // namespace sagetally::lab
+
+#endif  // SAGETALLY_SRC_LAB_CLOCK_H_
--- a/src/lab/load/client.cpp
+++ b/src/lab/load/client.cpp
@@ -4,7 +4,6 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
 #include <algorithm>
 #include <array>
@@ -12,30 +11,17 @@
 #include <boost/beast/http/string_body.hpp>
 #include <cerrno>
 #include <charconv>
-#include <chrono>
 #include <optional>
 #include <stdexcept>
 #include <utility>
 
+#include "store/fd.h"
+
 namespace sagetally::lab {
 namespace {
 
 namespace http = boost::beast::http;
 
-class Socket {
- public:
-  Socket() : fd_(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)) {}
-  ~Socket() {
-    if (fd_ >= 0) ::close(fd_);
-  }
-  Socket(const Socket&) = delete;
-  Socket& operator=(const Socket&) = delete;
-  int fd() const { return fd_; }
-
- private:
-  const int fd_;
-};
-
 double RetryAfter(const http::fields& fields) {
   const auto value = fields["Retry-After"];
   double seconds = 0;
@@ -45,27 +31,21 @@
 
 }  // namespace
 
-std::int64_t NowUs() {
-  return std::chrono::duration_cast<std::chrono::microseconds>(
-             std::chrono::steady_clock::now().time_since_epoch())
-      .count();
-}
-
 class ClientConnection {
  public:
   ClientConnection(Clients& clients, const Address& to)
       : clients_(clients),
-        read_(event_new(clients.loop_.base(), socket_.fd(), EV_READ | EV_PERSIST, Readable, this)),
-        write_(event_new(clients.loop_.base(), socket_.fd(), EV_WRITE, Writable, this)),
+        read_(event_new(clients.loop_.base(), socket_.get(), EV_READ | EV_PERSIST, Readable, this)),
+        write_(event_new(clients.loop_.base(), socket_.get(), EV_WRITE, Writable, this)),
         give_up_(clients.loop_, [this] { End({.timed_out = !failed_}, false); }) {
-    if (socket_.fd() < 0) return;
+    if (socket_.get() < 0) return;
     const int on = 1;
-    ::setsockopt(socket_.fd(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    ::setsockopt(socket_.get(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
     sockaddr_in at{};
     at.sin_family = AF_INET;
     at.sin_port = htons(to.port);
     ::inet_pton(AF_INET, to.host.c_str(), &at.sin_addr);
-    const int result = ::connect(socket_.fd(), reinterpret_cast<const sockaddr*>(&at), sizeof at);
+    const int result = ::connect(socket_.get(), reinterpret_cast<const sockaddr*>(&at), sizeof at);
     failed_ = result != 0 && errno != EINPROGRESS;
     connecting_ = result != 0;
     if (!failed_) event_add(read_.get(), nullptr);
@@ -82,7 +62,7 @@
     parser_.emplace();
     parser_->eager(true);
     if (clients_.answer_.count() > 0) give_up_.After(clients_.answer_);
-    if (socket_.fd() < 0 || failed_) {
+    if (socket_.get() < 0 || failed_) {
       give_up_.After(Duration(0));  // heard of from the loop, as any other failure is
       return;
     }
@@ -98,7 +78,7 @@
   void Write() {
     while (written_ < request_.size()) {
       const auto n =
-          ::send(socket_.fd(), request_.data() + written_, request_.size() - written_, MSG_NOSIGNAL);
+          ::send(socket_.get(), request_.data() + written_, request_.size() - written_, MSG_NOSIGNAL);
       if (n < 0 && (errno == EAGAIN || errno == EINTR)) {
         event_add(write_.get(), nullptr);
         return;
@@ -110,7 +90,7 @@
 
   void Read() {
     std::array<char, 16 * 1024> bytes;
-    const auto n = ::recv(socket_.fd(), bytes.data(), bytes.size(), 0);
+    const auto n = ::recv(socket_.get(), bytes.data(), bytes.size(), 0);
     if (n < 0 && (errno == EAGAIN || errno == EINTR)) return;
     if (n <= 0 || !busy()) return Broke();  // closed, or bytes that nobody asked for
     heard_ = true;
@@ -160,7 +140,7 @@
     give_up_.Stop();
     event_del(read_.get());
     event_del(write_.get());
-    ::shutdown(socket_.fd(), SHUT_RDWR);  // the other side hears now, the memory goes later
+    ::shutdown(socket_.get(), SHUT_RDWR);  // the other side hears now, the memory goes later
   }
 
   static void Readable(evutil_socket_t, short, void* self) { static_cast<ClientConnection*>(self)->Read(); }
@@ -171,7 +151,7 @@
   }
 
   Clients& clients_;
-  Socket socket_;
+  const Fd socket_{::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)};
   EventPtr read_, write_;
   Timer give_up_;
   std::string request_, partial_;
--- a/src/lab/load/client.h
+++ b/src/lab/load/client.h
@@ -13,8 +13,6 @@
 
 namespace sagetally::lab {
 
-std::int64_t NowUs();  // of the machine's monotonic clock
-
 struct Reply {
   int code = 0;            // 0: none
   bool timed_out = false;  // none in the client's time; else the connection broke
--- a/src/lab/load/run.cpp
+++ b/src/lab/load/run.cpp
@@ -7,6 +7,7 @@
 #include <stdexcept>
 #include <thread>
 
+#include "lab/clock.h"
 #include "lab/load/trace.h"
 
 namespace sagetally::lab {
--- a/src/lab/load/scenario.cpp
+++ b/src/lab/load/scenario.cpp
@@ -11,11 +11,6 @@
 
 using Json = nlohmann::json;
 
-template <typename T>
-T At(const Json& json, const char* key, T otherwise) {
-  return json.value(key, otherwise);
-}
-
 // What the schema can't say names its place all the same.
 template <typename F>
 auto Place(const std::string& pointer, F read) {
@@ -41,66 +36,67 @@
 Scenario ScenarioFromJson(const Json& json) {
   Validate(ScenarioSchema(), json);
   Scenario s;
-  s.seed = At(json, "seed", s.seed);
-  s.seconds = At(json, "seconds", s.seconds);
-  s.drain_s = At(json, "drain_s", s.drain_s);
+  s.seed = json.value("seed", s.seed);
+  s.seconds = json.value("seconds", s.seconds);
+  s.drain_s = json.value("drain_s", s.drain_s);
   for (const Json& target : json.at("targets")) {
     s.targets.push_back(
         Place("/targets", [&] { return ParseAddress(target.get_ref<const std::string&>(), "a target"); }));
   }
-  s.front = At<std::string>(json, "front", "platform") == "events" ? Front::kEvents : Front::kPlatform;
-  const std::string mode = At<std::string>(json, "mode", "binary");
+  s.front = json.value("front", std::string("platform")) == "events" ? Front::kEvents : Front::kPlatform;
+  const std::string mode = json.value("mode", std::string("binary"));
   s.mode = mode == "batched"      ? EventMode::kBatched
            : mode == "structured" ? EventMode::kStructured
                                   : EventMode::kBinary;
-  s.batch = At(json, "batch", s.batch);
-  s.batch_wait_ms = At(json, "batch_wait_ms", s.batch_wait_ms);
-  s.threads = At(json, "threads", s.threads);
-  s.connections = At(json, "connections", s.connections);
-  s.backlog = At(json, "backlog", s.backlog);
-  s.max_messages = At(json, "max_messages", s.max_messages);
-  s.answer_ms = At(json, "answer_ms", s.answer_ms);
-  s.hand_ins_again = At(json, "hand_ins_again", s.hand_ins_again);
-  s.again_ms = At(json, "again_ms", s.again_ms);
-  s.arrivals = At(json, "arrivals", Json::object());
-  for (const Json& c : At(json, "classes", Json::array({{{"name", "aviso"}}}))) {
+  s.batch = json.value("batch", s.batch);
+  s.batch_wait_ms = json.value("batch_wait_ms", s.batch_wait_ms);
+  s.threads = json.value("threads", s.threads);
+  s.connections = json.value("connections", s.connections);
+  s.backlog = json.value("backlog", s.backlog);
+  s.max_messages = json.value("max_messages", s.max_messages);
+  s.answer_ms = json.value("answer_ms", s.answer_ms);
+  s.hand_ins_again = json.value("hand_ins_again", s.hand_ins_again);
+  s.again_ms = json.value("again_ms", s.again_ms);
+  s.arrivals = json.value("arrivals", Json::object());
+  for (const Json& c : json.value("classes", Json::array({{{"name", "aviso"}}}))) {
     ClassMix mix;
     mix.name = c.at("name").get<std::string>();
-    mix.weight = At(c, "weight", mix.weight);
-    mix.deadline_ms = At(c, "deadline_ms", mix.deadline_ms);
-    mix.aim_ms = At(c, "aim_ms", mix.aim_ms);
-    mix.repeat = RepeatFrom(At<std::string>(c, "repeat", "free"));
+    mix.weight = c.value("weight", mix.weight);
+    mix.deadline_ms = c.value("deadline_ms", mix.deadline_ms);
+    mix.aim_ms = c.value("aim_ms", mix.aim_ms);
+    mix.repeat = RepeatFrom(c.value("repeat", std::string("free")));
     s.classes.push_back(mix);
   }
-  const Json destinations = At(json, "destinations", Json::object());
-  s.first_destination = At(destinations, "first", 0);
-  s.destinations = At(destinations, "count", 1);
-  s.zipf = At(destinations, "zipf", 0.0);
-  s.body_bytes = At(json, "body_bytes", Json{{"kind", "constant"}, {"value", 200}});
+  const Json destinations = json.value("destinations", Json::object());
+  s.first_destination = destinations.value("first", 0);
+  s.destinations = destinations.value("count", 1);
+  s.zipf = destinations.value("zipf", 0.0);
+  s.body_bytes = json.value("body_bytes", Json{{"kind", "constant"}, {"value", 200}});
   Place("/body_bytes", [&] { return Distribution::FromJson(s.body_bytes).Mean(); });
-  const Json callers = At(json, "callers", Json::object());
-  s.callers = At(callers, "count", 1);
+  const Json callers = json.value("callers", Json::object());
+  s.callers = callers.value("count", 1);
   if (callers.contains("hot")) {
     const Json& hot = callers["hot"];
-    s.hot = HotCaller{hot.at("share"), At(hot, "from_s", 0.0), hot.at("for_s"), At(hot, "destinations", 1)};
+    s.hot =
+        HotCaller{hot.at("share"), hot.value("from_s", 0.0), hot.at("for_s"), hot.value("destinations", 1)};
   }
   if (json.contains("clumps")) {
     const Json& c = json["clumps"];
     Clumps clumps;
-    clumps.every_s = At(c, "every_s", clumps.every_s);
-    clumps.worth_least_s = At(c, "worth_least_s", clumps.worth_least_s);
-    clumps.worth_most_s = At(c, "worth_most_s", clumps.worth_most_s);
-    clumps.partner_rate = At(c, "partner_rate", clumps.partner_rate);
-    clumps.over_ms = At(c, "over_ms", clumps.over_ms);
+    clumps.every_s = c.value("every_s", clumps.every_s);
+    clumps.worth_least_s = c.value("worth_least_s", clumps.worth_least_s);
+    clumps.worth_most_s = c.value("worth_most_s", clumps.worth_most_s);
+    clumps.partner_rate = c.value("partner_rate", clumps.partner_rate);
+    clumps.over_ms = c.value("over_ms", clumps.over_ms);
     if (clumps.worth_most_s < clumps.worth_least_s)
       throw std::runtime_error("/clumps/worth_most_s: expected at least worth_least_s");
     s.clumps = clumps;
   }
-  s.trace = At<std::string>(json, "trace", "");
+  s.trace = json.value("trace", std::string(""));
   if (json.contains("valid")) {
-    s.valid.lag_ms = At(json["valid"], "lag_ms", s.valid.lag_ms);
-    s.valid.share = At(json["valid"], "share", s.valid.share);
-    s.valid.run_queue_share = At(json["valid"], "run_queue_share", s.valid.run_queue_share);
+    s.valid.lag_ms = json["valid"].value("lag_ms", s.valid.lag_ms);
+    s.valid.share = json["valid"].value("share", s.valid.share);
+    s.valid.run_queue_share = json["valid"].value("run_queue_share", s.valid.run_queue_share);
   }
   return s;
 }
--- a/src/lab/load/self_watch.cpp
+++ b/src/lab/load/self_watch.cpp
@@ -7,7 +7,7 @@
 #include <cstdlib>
 #include <fstream>
 
-#include "lab/load/client.h"
+#include "lab/clock.h"
 #include "lab/report/histogram.h"
 
 namespace sagetally::lab {
--- a/src/lab/load/sender.cpp
+++ b/src/lab/load/sender.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "lab/clock.h"
+
 namespace sagetally::lab {
 namespace {
 
--- a/src/lab/report/account.cpp
+++ b/src/lab/report/account.cpp
@@ -9,6 +9,7 @@
 // The protocol's leeway: a message is lost 300 ms after its time is up.
 constexpr std::int64_t kLeewayUs = 300'000;
 constexpr std::size_t kMostFindings = 100;
+constexpr std::int64_t kWaitedUs = 20'000;
 
 struct Ends {  // what stand-ins saw of one message
   std::int64_t delivered_us = kNever, undeliverable_us = kNever, deferred_us = kNever;
@@ -18,8 +19,9 @@
 
 class Settling {
  public:
-  Settling(const Scenario& scenario, bool watched, std::int64_t over_us)
-      : scenario_(scenario), watched_(watched), over_us_(over_us) {
+  Settling(const Scenario& scenario, bool watched, std::int64_t over_us, std::span<const FaultSpan> faults)
+      : scenario_(scenario), watched_(watched), over_us_(over_us), faults_(faults) {
+    account_.met.resize(faults.size());
     for (const ClassMix& c : scenario.classes) account_.classes[c.name] = {};
   }
 
@@ -55,6 +57,13 @@
     account_.hand_ins += r.hand_ins;
     Latencies(r);
     Count(account_.series[bucket], r, fate);
+    for (std::size_t i = 0; i < faults_.size(); ++i) {
+      const FaultSpan& fault = faults_[i];
+      const double at_ms = static_cast<double>(r.planned.at_us) / 1000;
+      const bool there = !fault.destination || *fault.destination == r.planned.destination;
+      if (there && at_ms >= fault.from_ms && at_ms < fault.from_ms + fault.for_ms)
+        Meet(account_.met[i], r, fate);
+    }
   }
 
   // Records by intended time: one histogram serves bucket after bucket.
@@ -165,6 +174,16 @@
     if (e.delivered_us == kNever && ended != kNever) a.ended.Add(since(ended));
   }
 
+  static void Meet(Met& met, const Record& r, Fate fate) {
+    ++met.offered;
+    met.taken += r.taken_us != kNever ? 1 : 0;
+    met.in_aim += fate == Fate::kInAim ? 1 : 0;
+    const bool answered = r.answered_us != kNever && r.first_code != 0;
+    met.waited += !answered || r.answered_us - r.intended_us > kWaitedUs ? 1 : 0;
+    if (r.answered_us != kNever)
+      met.answer_max_us = std::max(met.answer_max_us, static_cast<double>(r.answered_us - r.intended_us));
+  }
+
   static void Count(Bucket& b, const Record& r, Fate fate) {
     ++b.offered;
     if (r.taken_us != kNever) ++b.taken;
@@ -179,6 +198,7 @@
   const Scenario& scenario_;
   const bool watched_;
   const std::int64_t over_us_;
+  const std::span<const FaultSpan> faults_;
   std::vector<Ends> ends_;
   std::vector<std::int8_t> taken_hand_in_;
   Account account_;
@@ -194,8 +214,8 @@
 }
 
 Account Settle(const Scenario& scenario, std::span<const Record> records, std::span<const Sighting> sightings,
-               bool watched, std::int64_t over_us, std::uint32_t run) {
-  Settling settling(scenario, watched, over_us);
+               bool watched, std::int64_t over_us, std::uint32_t run, std::span<const FaultSpan> faults) {
+  Settling settling(scenario, watched, over_us, faults);
   std::vector<const Record*> sorted;
   sorted.reserve(records.size());
   std::int64_t messages = 0;
--- a/src/lab/report/account.h
+++ b/src/lab/report/account.h
@@ -11,6 +11,7 @@
 #include "lab/load/scenario.h"
 #include "lab/report/histogram.h"
 #include "lab/report/record.h"
+#include "lab/standin/timeline.h"
 
 namespace sagetally::lab {
 
@@ -38,6 +39,12 @@
   double as_sent_p99 = 0, as_sent_max = 0;
 };
 
+struct Met {  // messages that were due during a fault
+  std::int64_t offered = 0, taken = 0, in_aim = 0;
+  std::int64_t waited = 0;  // over 20 ms for their first answer, or in vain
+  double answer_max_us = 0;
+};
+
 struct Finding {  // something that no run may show
   std::string rule, id, detail;
   bool operator==(const Finding&) const = default;
@@ -49,6 +56,7 @@
   // By message; us. `answer`: to the first answer, or to the end of waiting for one (then at least so long).
   LatencyHistogram answer_corrected, answer_as_sent, taken, delivered, ended, lag, connection_wait;
   std::int64_t answers_cut = 0;  // of those, how many ended without an answer
+  std::vector<Met> met;          // by fault of the timeline
   std::vector<Bucket> series;    // of 100 ms each
   std::map<std::string, std::array<std::int64_t, kFates>> classes;
   std::map<std::int32_t, std::int64_t> destinations;  // offered to each
@@ -60,10 +68,10 @@
 
 inline constexpr std::int64_t kBucketUs = 100'000;
 
-// `watched`: stand-ins told of deliveries and ends, so that what they did not tell of is missing. `over_us`:
-// when the run stopped listening.
+// `faults`: in ms of the run. `watched`: stand-ins told of deliveries and ends, so that what they did not
+// tell of is missing. `over_us`: when the run stopped listening.
 Account Settle(const Scenario& scenario, std::span<const Record> records, std::span<const Sighting> sightings,
-               bool watched, std::int64_t over_us, std::uint32_t run);
+               bool watched, std::int64_t over_us, std::uint32_t run, std::span<const FaultSpan> faults = {});
 
 }  // namespace sagetally::lab
 
--- a/src/lab/report/result.cpp
+++ b/src/lab/report/result.cpp
@@ -66,28 +66,6 @@
 
 std::string Ms(double us) { return fmt::format("{:.3f}", us / 1000); }
 
-constexpr std::int64_t kWaitedUs = 20'000;
-
-Met Meeting(const FaultSpan& fault, const Scenario& scenario, const RunRecords& run,
-            const std::map<std::int64_t, std::int64_t>& delivered_us) {
-  Met met;
-  const double from = fault.from_ms * 1000, to = from + fault.for_ms * 1000;
-  for (const Record& r : run.records) {
-    const auto at = static_cast<double>(r.planned.at_us);
-    if (at < from || at >= to || (fault.destination && *fault.destination != r.planned.destination)) continue;
-    ++met.offered;
-    met.taken += r.taken_us != kNever ? 1 : 0;
-    const std::int64_t waited = r.answered_us == kNever ? INT64_MAX : r.answered_us - r.intended_us;
-    met.waited += waited > kWaitedUs || r.first_code == 0 ? 1 : 0;
-    if (r.answered_us != kNever) met.answer_max_us = std::max(met.answer_max_us, static_cast<double>(waited));
-    const auto seen = delivered_us.find(r.planned.number);
-    const auto aim_us = static_cast<std::int64_t>(
-        scenario.classes[static_cast<std::size_t>(r.planned.message_class)].aim_ms * 1000);
-    met.in_aim += seen != delivered_us.end() && seen->second - r.intended_us <= aim_us ? 1 : 0;
-  }
-  return met;
-}
-
 }  // namespace
 
 Result MakeResult(const std::string& name, const Scenario& scenario, const RunRecords& run,
@@ -96,19 +74,12 @@
   r.name = name;
   r.seconds = run.partial ? static_cast<double>(run.over_us - run.start_us) / 1e6 : scenario.seconds;
   r.partial = run.partial;
-  r.account = Settle(scenario, run.records, sightings, watched, run.over_us, run.run);
+  r.faults = timeline.spans();
+  r.account = Settle(scenario, run.records, sightings, watched, run.over_us, run.run, r.faults);
   r.threads = run.threads;
   r.connections_opened = run.connections_opened;
   r.waits_for_plan = run.waits_for_plan;
   r.why_invalid = Invalid(scenario.valid, r.account.lag, run.threads);
-  r.faults = timeline.spans();
-  std::map<std::int64_t, std::int64_t> delivered_us;
-  for (const Sighting& s : sightings) {
-    const auto id = ParseHandInId(s.id);
-    if (id && id->run == run.run && s.kind == SeenKind::kDelivered)
-      delivered_us.try_emplace(id->number, s.at_us);
-  }
-  for (const FaultSpan& fault : r.faults) r.met.push_back(Meeting(fault, scenario, run, delivered_us));
   r.watched = watched;
   return r;
 }
@@ -154,7 +125,7 @@
   }
   json["faults"] = Timeline(r.faults).ToJson();
   for (std::size_t i = 0; i < r.faults.size(); ++i) {
-    const Met& m = r.met[i];
+    const Met& m = r.account.met[i];
     json["faults"][i]["met"] = {{"offered", m.offered},
                                 {"taken", m.taken},
                                 {"in_aim", m.in_aim},
@@ -194,7 +165,7 @@
   r.faults = Timeline::FromJson(json.at("faults")).spans();
   for (const Json& fault : json.at("faults")) {
     const Json& m = fault.at("met");
-    r.met.push_back({m.at("offered"), m.at("taken"), m.at("in_aim"), m.at("waited"), m.at("answer_max_us")});
+    a.met.push_back({m.at("offered"), m.at("taken"), m.at("in_aim"), m.at("waited"), m.at("answer_max_us")});
   }
   return r;
 }
@@ -251,7 +222,7 @@
         {"due during", "from s", "to s", "offered", "taken", "in aim", "waited over 20 ms", "longest ms"});
     for (std::size_t i = 0; i < r.faults.size(); ++i) {
       const FaultSpan& f = r.faults[i];
-      const Met& m = r.met[i];
+      const Met& m = r.account.met[i];
       const std::string where = !f.endpoint.empty() ? " at " + f.endpoint
                                 : f.destination     ? " at " + std::to_string(*f.destination)
                                                     : "";
--- a/src/lab/report/result.h
+++ b/src/lab/report/result.h
@@ -13,12 +13,6 @@
 
 namespace sagetally::lab {
 
-struct Met {  // messages that were due during a fault
-  std::int64_t offered = 0, taken = 0, in_aim = 0;
-  std::int64_t waited = 0;  // over 20 ms for their first answer, or in vain
-  double answer_max_us = 0;
-};
-
 struct Result {
   std::string name;
   double seconds = 0;
@@ -28,7 +22,6 @@
   std::vector<SelfReport> threads;
   std::int64_t connections_opened = 0, waits_for_plan = 0;
   std::vector<FaultSpan> faults;  // of the timeline, in ms of the run; drawn into plots
-  std::vector<Met> met;           // by fault
   bool watched = false;
   bool valid() const { return why_invalid.empty(); }
 };
--- a/src/lab/standin/listener_script.cpp
+++ b/src/lab/standin/listener_script.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
-#include "lab/load/client.h"
+#include "lab/clock.h"
 
 namespace sagetally::lab {
 
--- a/src/lab/standin/standins.cpp
+++ b/src/lab/standin/standins.cpp
@@ -2,7 +2,7 @@
 
 #include <fmt/format.h>
 
-#include "lab/load/client.h"
+#include "lab/clock.h"
 #include "lab/load/scenario.h"
 #include "lab/schemas.h"
 
--- a/src/lab/try/child.cpp
+++ b/src/lab/try/child.cpp
@@ -6,6 +6,7 @@
 
 #include <cerrno>
 #include <csignal>
+#include <fstream>
 #include <stdexcept>
 
 namespace sagetally::lab {
@@ -55,6 +56,16 @@
   if (pid_ > 0) ::kill(pid_, number);
 }
 
+std::optional<std::uint16_t> ReadyPort(const std::string& log) {
+  std::ifstream file(log);
+  for (std::string line; std::getline(file, line);) {
+    const std::size_t port = line.find(" port=");
+    if (line.find(" ready name=") != std::string::npos && port != std::string::npos && !file.eof())
+      return static_cast<std::uint16_t>(std::stoi(line.substr(port + 6)));
+  }
+  return std::nullopt;
+}
+
 int Child::Wait() const {
   int status = 0;
   if (pid_ <= 0) return code_;
--- a/src/lab/try/child.h
+++ b/src/lab/try/child.h
@@ -4,6 +4,8 @@
 
 #include <sys/types.h>
 
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -30,6 +32,9 @@
   mutable int code_ = 0;
 };
 
+// The port for clients that a node's log names once it is ready (a planner has none: 0); nothing until then.
+std::optional<std::uint16_t> ReadyPort(const std::string& log);
+
 }  // namespace sagetally::lab
 
 #endif  // SAGETALLY_SRC_LAB_TRY_CHILD_H_
--- a/src/lab/try/try.cpp
+++ b/src/lab/try/try.cpp
@@ -11,6 +11,7 @@
 #include <stdexcept>
 #include <thread>
 
+#include "lab/clock.h"
 #include "lab/report/html.h"
 #include "lab/standin/thread.h"
 #include "lab/try/child.h"
@@ -163,12 +164,7 @@
     const auto limit = std::chrono::steady_clock::now() + kStart;
     const Node& node = Named(name);
     while (std::chrono::steady_clock::now() < limit) {
-      std::ifstream log(node.child->log());
-      for (std::string line; std::getline(log, line);) {
-        const std::size_t port = line.find(" port=");
-        if (line.find(" ready name=") != std::string::npos && port != std::string::npos)
-          return static_cast<std::uint16_t>(std::stoi(line.substr(port + 6)));
-      }
+      if (const auto port = ReadyPort(node.child->log())) return *port;
       if (!node.child->Running()) break;
       std::this_thread::sleep_for(kLook);
     }
--- /dev/null
+++ b/src/store/fd.h
@@ -0,0 +1,34 @@
+// An owned file descriptor.
+#ifndef SAGETALLY_SRC_STORE_FD_H_
+#define SAGETALLY_SRC_STORE_FD_H_
+
+#include <unistd.h>
+
+#include <utility>
+
+namespace sagetally {
+
+class Fd {
+ public:
+  explicit Fd(int fd = -1) : fd_(fd) {}
+  Fd(Fd&& other) noexcept : fd_(other.Release()) {}
+  Fd& operator=(Fd&& other) noexcept {
+    if (this != &other) {
+      if (fd_ >= 0) ::close(fd_);
+      fd_ = other.Release();
+    }
+    return *this;
+  }
+  ~Fd() {
+    if (fd_ >= 0) ::close(fd_);
+  }
+  int get() const { return fd_; }
+  int Release() { return std::exchange(fd_, -1); }
+
+ private:
+  int fd_;
+};
+
+}  // namespace sagetally
+
+#endif  // SAGETALLY_SRC_STORE_FD_H_
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -162,18 +162,6 @@
 
 }  // namespace
 
-Fd& Fd::operator=(Fd&& other) noexcept {
-  if (this != &other) {
-    if (fd_ >= 0) ::close(fd_);
-    fd_ = other.Release();
-  }
-  return *this;
-}
-Fd::~Fd() {
-  if (fd_ >= 0) ::close(fd_);
-}
-int Fd::Release() { return std::exchange(fd_, -1); }
-
 Store::Store(std::string folder, std::size_t most_bytes, Ledger& ledger)
     : path_(std::move(folder) + "/log"), most_bytes_(most_bytes), ledger_(ledger) {
   ::unlink((path_ + ".new").c_str());  // of a compaction that was cut short
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -9,22 +9,10 @@
 
 #include "core/ledger.h"
 #include "core/ports.h"
+#include "store/fd.h"
 
 namespace sagetally {
 
-class Fd {  // an owned file descriptor
- public:
-  explicit Fd(int fd = -1) : fd_(fd) {}
-  Fd(Fd&& other) noexcept : fd_(other.Release()) {}
-  Fd& operator=(Fd&& other) noexcept;
-  ~Fd();
-  int get() const { return fd_; }
-  int Release();
-
- private:
-  int fd_;
-};
-
 class Store : public Journal {
  public:
   // Opens the log in `folder` and reads what it holds into `ledger`. Throws std::runtime_error.
--- a/tests/kept/kill_test.cpp
+++ b/tests/kept/kill_test.cpp
@@ -1,65 +1,30 @@
 // The program as a process, killed by SIGKILL at seeded moments while messages fail, are kept and sent again.
 // Arguments: the program, how many kills, a seed.
-#include <fcntl.h>
-#include <sys/wait.h>
-#include <unistd.h>
-
 #include <boost/random/uniform_int_distribution.hpp>
 #include <fstream>
 
 #include "kept/files.h"
+#include "lab/try/child.h"
 #include "partner.h"
 
 namespace sagetally {
 namespace {
 
-// The child, and the lines that it writes.
-class Process {
- public:
-  Process(Loop& loop, const std::string& program, const std::string& folder) {
-    int ends[2];
-    assert(::pipe2(ends, O_CLOEXEC) == 0);
-    pid = ::fork();
-    if (pid == 0) {
-      ::dup2(ends[1], 1);
-      std::vector<std::string> words = {
-          program, "serve", "--config", folder + "/config.json", "--node-file", folder + "/node.json"};
-      std::vector<char*> argv;
-      for (std::string& word : words) argv.push_back(word.data());
-      argv.push_back(nullptr);
-      ::execv(program.c_str(), argv.data());
-      ::_exit(127);
-    }
-    ::close(ends[1]);
-    output_.reset(bufferevent_socket_new(loop.base(), ends[0], BEV_OPT_CLOSE_ON_FREE));
-    evutil_make_socket_nonblocking(ends[0]);
-    bufferevent_setcb(output_.get(), Read, nullptr, nullptr, this);
-    bufferevent_enable(output_.get(), EV_READ);
+// One life of the program; its log is the folder's.
+struct Process {
+  Process(const std::string& program, const std::string& folder)
+      : child({program, "serve", "--config", folder + "/config.json", "--node-file", folder + "/node.json"},
+              "", folder + "/output") {}
+  std::uint16_t Port() {  // once it is ready; 0 until then
+    if (port == 0) port = lab::ReadyPort(child.log()).value_or(0);
+    return port;
   }
-  ~Process() { End(SIGKILL); }
   int End(int signal) {
-    if (pid <= 0) return 0;
-    ::kill(pid, signal);
-    int status = 0;
-    ::waitpid(std::exchange(pid, 0), &status, 0);
-    return status;
-  }
-  std::uint16_t port = 0;  // once it is ready
-  pid_t pid = 0;
-
- private:
-  static void Read(bufferevent* b, void* self) {
-    auto* p = static_cast<Process*>(self);
-    evbuffer* in = bufferevent_get_input(b);
-    const std::size_t size = evbuffer_get_length(in);
-    p->text_.append(reinterpret_cast<char*>(evbuffer_pullup(in, -1)), size);
-    evbuffer_drain(in, size);
-    const std::size_t at = p->text_.find(" ready name=n0 port=");
-    if (p->port == 0 && at != p->text_.npos)
-      p->port = static_cast<std::uint16_t>(std::stoi(p->text_.substr(at + 20)));
+    child.Signal(signal);
+    return child.Wait();
   }
-  std::unique_ptr<bufferevent, Free<bufferevent_free>> output_;
-  std::string text_;
+  lab::Child child;
+  std::uint16_t port = 0;
 };
 
 void Run(const std::string& program, int kills, std::uint64_t seed) {
@@ -82,22 +47,22 @@
   partner.menu = {kFull,  kFull,  kRefuse, kRefuse, kError, kError,  kError, kError, kError,
                   kReset, kReset, kReset,  kSpoilt, kLate,  kSilent, kError, kReset};
   partner.menu.resize(30, kWell);
-  auto process = std::make_unique<Process>(w.loop, program, w.folder.path);
+  auto process = std::make_unique<Process>(program, w.folder.path);
   Clients clients(
-      w.loop, [&] { return process->port; }, seed);
+      w.loop, [&] { return process->Port(); }, seed);
   clients.destinations = 8;
   clients.deadline_ms = 120;
   boost::random::mt19937_64 random(seed);
   for (int kill = 0; kill < kills; ++kill) {
-    Until(w.loop, [&] { return process->port != 0; });
+    Until(w.loop, [&] { return process->Port() != 0; });
     clients.Start(3ms);
     RunFor(w.loop,
            std::chrono::microseconds(boost::random::uniform_int_distribution<int>(0, 300'000)(random)));
     clients.Pause();
     process->End(SIGKILL);
-    process = std::make_unique<Process>(w.loop, program, w.folder.path);
+    process = std::make_unique<Process>(program, w.folder.path);
   }
-  Until(w.loop, [&] { return process->port != 0; });
+  Until(w.loop, [&] { return process->Port() != 0; });
   partner.menu = {kWell};
   kept::Database::Settings settings;
   settings.path = w.folder.path + "/kept/kept.db";
--- a/tests/kept/partner.h
+++ b/tests/kept/partner.h
@@ -9,6 +9,7 @@
 #include <set>
 
 #include "../node/world.h"
+#include "lab/clock.h"
 #include "lab/load/client.h"
 #include "lab/standin/partner.h"
 
--- a/tests/lab/arrivals_test.cpp
+++ b/tests/lab/arrivals_test.cpp
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include "lab/load/plan.h"
+#include "refused.h"
 
 namespace sagetally::lab {
 namespace {
@@ -57,13 +58,7 @@
        {R"({"kind":"gamma","mean":3})", R"({"kind":"pareto","mean":3,"alpha":1})", R"({"kind":"x","mean":1})",
         R"({"kind":"exponential","mean":0})", R"({"kind":"uniform","from":3,"to":2})",
         R"({"kind":"constant","value":-1})", R"({"mean":3})", R"({"kind":"weibull","mean":"a","shape":1})"}) {
-    bool refused = false;
-    try {
-      Distribution::FromJson(nlohmann::json::parse(text));
-    } catch (const std::runtime_error&) {
-      refused = true;
-    }
-    assert(refused);
+    assert(!Refused([&] { Distribution::FromJson(nlohmann::json::parse(text)); }).empty());
   }
 }
 
@@ -155,13 +150,7 @@
   assert(std::abs(late.Next() - 6) < 1e-6 && std::abs(late.Next() - 7) < 1e-6 &&
          std::abs(late.Next() - 8) < 1e-6);
   assert(std::isinf(late.Next()));
-  bool refused = false;
-  try {
-    SteppedRate({{5, 1, false}, {2, 1, false}});
-  } catch (const std::runtime_error&) {
-    refused = true;
-  }
-  assert(refused);
+  assert(!Refused([] { SteppedRate({{5, 1, false}, {2, 1, false}}); }).empty());
 }
 
 nlohmann::json Base() {
@@ -247,16 +236,7 @@
       {R"({"targets":["127.0.0.1:1"],"body_bytes":{"kind":"pareto"}})", "/body_bytes"},
       {R"({"targets":["127.0.0.1:1"],"clumps":{"worth_least_s":3,"worth_most_s":2}})",
        "/clumps/worth_most_s"}};
-  for (const auto& [text, place] : table) {
-    std::string what;
-    try {
-      ScenarioFromJson(nlohmann::json::parse(text));
-    } catch (const std::exception& error) {
-      what = error.what();
-    }
-    if (!what.starts_with(place)) std::fprintf(stderr, "%s: %s\n", text, what.c_str());
-    assert(what.starts_with(place));
-  }
+  EachNamesItsPlace(table, [](const char* text) { ScenarioFromJson(nlohmann::json::parse(text)); });
 }
 
 }  // namespace
--- a/tests/lab/load_test.cpp
+++ b/tests/lab/load_test.cpp
@@ -15,6 +15,7 @@
 #include "lab/load/trace.h"
 #include "lab/report/result.h"
 #include "lab/standin/thread.h"
+#include "refused.h"
 
 namespace sagetally::lab {
 namespace {
@@ -95,10 +96,12 @@
   spans[0].from_ms -= static_cast<double>(ran.records.start_us - standins.started_us) / 1000;
   const Result result =
       MakeResult("pause", ScenarioFromJson(json), ran.records, standins.Sightings(), true, Timeline(spans));
-  assert(result.met.size() == 1 && std::abs(static_cast<double>(result.met[0].waited) / 1500 - 1) < 0.02);
-  assert(result.met[0].answer_max_us == corrected.max());
+  assert(result.account.met.size() == 1 &&
+         std::abs(static_cast<double>(result.account.met[0].waited) / 1500 - 1) < 0.02);
+  assert(result.account.met[0].answer_max_us == corrected.max());
   const Result read = ResultFromJson(ToJson(result));
-  assert(read.met[0].waited == result.met[0].waited && read.faults[0].from_ms == spans[0].from_ms);
+  assert(read.account.met[0].waited == result.account.met[0].waited &&
+         read.faults[0].from_ms == spans[0].from_ms);
   assert(as_sent.Over(20'000) <= 4 && as_sent.Quantile(0.99) < 0.1 * corrected.Quantile(0.99));
   double longest = 0;
   for (const Bucket& b : account.series) longest = std::max(longest, b.corrected_max);
@@ -186,12 +189,7 @@
 }
 
 std::string Refusal(const Json& json) {
-  try {
-    Offer(json, nullptr);
-  } catch (const std::exception& error) {
-    return error.what();
-  }
-  return "";
+  return Refused([&] { Offer(json, nullptr); });
 }
 
 void WhatCannotBeDoneIsSaidBeforeTheRun() {
--- a/tests/lab/report_test.cpp
+++ b/tests/lab/report_test.cpp
@@ -13,6 +13,7 @@
 #include "lab/report/html.h"
 #include "lab/report/statistics.h"
 #include "lab/standin/checker.h"
+#include "refused.h"
 
 namespace sagetally::lab {
 namespace {
@@ -139,13 +140,7 @@
   assert(ToJson(read) == ToJson(result));
   nlohmann::json broken = ToJson(result);
   broken["fates"].erase("late");
-  bool refused = false;
-  try {
-    ResultFromJson(broken);
-  } catch (const std::exception&) {
-    refused = true;
-  }
-  assert(refused);
+  assert(!Refused([&] { ResultFromJson(broken); }).empty());
   Result slower = result;
   slower.account.answer_corrected.Add(900'000), slower.account.answer_corrected.Add(900'000);
   const auto verdict = [](const nlohmann::json& comparison, const std::string& figure) {
@@ -260,12 +255,7 @@
   assert(i.problems[1].line == 4 && i.problems[1].column == 4 && i.problems[2].line == 5 &&
          i.problems[2].column == 7);
   csv.strict = true;
-  std::string what;
-  try {
-    Import(bad, csv);
-  } catch (const std::runtime_error& error) {
-    what = error.what();
-  }
+  const std::string what = Refused([&] { Import(bad, csv); });
   assert(what.starts_with("line 3, column 1: expected a time"));
   // A clock that goes back: sorted and told.
   csv.strict = false;
--- a/tests/lab/standin_test.cpp
+++ b/tests/lab/standin_test.cpp
@@ -7,8 +7,10 @@
 #include <cstdio>
 #include <map>
 
+#include "lab/clock.h"
 #include "lab/load/client.h"
 #include "lab/standin/standins.h"
+#include "refused.h"
 
 namespace sagetally::lab {
 namespace {
@@ -228,16 +230,7 @@
       {R"({"agent":{"late":3}})", "/agent/late"},
       {R"({"partners":[{"destination":1,"listen":"10.0.0.1:80"}]})", "/partners/0/listen"},
       {R"({"partners":[{"destination":1,"service_ms":{"kind":"gamma"}}]})", "/partners/0"}};
-  for (const auto& [text, place] : table) {
-    std::string what;
-    try {
-      StandInSettingsFromJson(Json::parse(text));
-    } catch (const std::exception& error) {
-      what = error.what();
-    }
-    if (!what.starts_with(place)) std::fprintf(stderr, "%s: %s\n", text, what.c_str());
-    assert(what.starts_with(place));
-  }
+  EachNamesItsPlace(table, [](const char* text) { StandInSettingsFromJson(Json::parse(text)); });
 }
 
 }  // namespace
