--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -28,6 +28,9 @@
     : fire_(std::move(fire)), event_(evtimer_new(loop.base(), Fire, &fire_)) {}
 
 void Timer::After(Duration d) {
+  // Counted from now. libevent counts from when this round of the loop began, so that a timer set late in a
+  // long round fires early or, if nothing else wakes the loop, late.
+  event_base_update_cache_time(event_get_base(event_.get()));
   const auto us = std::max<std::int64_t>(0, d.count());
   const timeval wait{static_cast<time_t>(us / 1'000'000), static_cast<suseconds_t>(us % 1'000'000)};
   event_add(event_.get(), &wait);
