--- a/src/app/dispatcher.cpp
+++ b/src/app/dispatcher.cpp
@@ -34,7 +34,15 @@
                EndIfDone();
              }),
       end_(loop_, [this] { loop_.Break(); }),
-      store_(config_.state_folder, config_.disk_bytes, ledger_),
+      journal_(loop_, log_, config_, deploy.journal, ledger_, clock_,
+               {[this] {
+                  chain_.Progress();
+                  Step();
+                },
+                [this] {  // another process answers for all that is held here
+                  failure_ = "another process has taken over the journal";
+                  loop_.Break();
+                }}),
       pool_(loop_,
             {config_.site.connect_timeout, config_.site.module.connection_idle, config_.site.module.slots + 2,
              Share(config_, deploy.cloudevents.has_value()).calls - (deploy.kept ? kKeptDescriptors : 0)},
@@ -44,9 +52,8 @@
           [this](std::uint64_t number) { chain_.book.Heard(number); }, log_),
       kept_(deploy.kept ? std::make_unique<KeptNode>(loop_, log_, config_, *deploy.kept, ledger_, clock_)
                         : nullptr),
-      chain_(config_.site, config_.seed, ledger_, store_, pool_, *this, *this, clock_,
+      chain_(config_.site, config_.seed, ledger_, journal_.journal(), pool_, *this, *this, clock_,
              kept_ ? kept_->keep() : nullptr) {
-  log_.Info("store.read", {{"note", store_.note()}});
   if (deploy.cloudevents && deploy.cloudevents->sink) {
     results_ = std::make_unique<Notices>(
         loop_, *deploy.cloudevents->sink,
@@ -56,7 +63,7 @@
   }
   peers_ = std::make_unique<Peers>(loop_, config_, [this](const PeerNote& n) { chain_.route.Add(n); });
   chain_.route.Listed(config_.known);
-  if (kept_) kept_->Start(chain_, store_.fresh());
+  if (kept_) kept_->Start(chain_, journal_.journal().fresh());
   chain_.Resume();
   front_ = std::make_unique<PlatformFront>(config_.site, chain_.intake);
   if (!deploy.eureka) {
--- a/src/app/dispatcher.h
+++ b/src/app/dispatcher.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 
+#include "app/journal_node.h"
 #include "app/kept_node.h"
 #include "clock/clock.h"
 #include "config/config.h"
@@ -20,7 +21,6 @@
 #include "net/watch.h"
 #include "registry/eureka.h"
 #include "stages/chain.h"
-#include "store/store.h"
 
 namespace sagetally {
 
@@ -32,6 +32,8 @@
   void Stop();  // as SIGTERM asks for it; breaks the loop once done
   // As SIGHUP asks for it: takes over what may change under way, all of it or, by throwing, nothing.
   void Reload(const Config& config);
+  // Why it ended by itself; empty if it was told to.
+  const std::string& failure() const { return failure_; }
   std::uint16_t port() const { return server_ ? server_->port() : 0; }
   KeptNode* kept() { return kept_.get(); }
   std::uint16_t events_port() const { return events_ ? events_->port() : 0; }
@@ -53,7 +55,7 @@
   SystemClock clock_;
   Timer step_, wake_, close_, end_;
   Ledger ledger_;
-  Store store_;
+  JournalNode journal_;
   EndpointPool pool_;
   Notices notices_;
   std::unique_ptr<Notices> results_;  // to the sink of events
@@ -66,6 +68,7 @@
   std::unique_ptr<CloudEventsFront> events_front_;
   std::unique_ptr<Server> server_, events_;
   bool stopping_ = false;
+  std::string failure_;
 };
 
 }  // namespace sagetally
--- /dev/null
+++ b/src/app/journal_node.cpp
@@ -0,0 +1,124 @@
+#include "app/journal_node.h"
+
+#include <algorithm>
+#include <condition_variable>
+#include <deque>
+#include <mutex>
+#include <stdexcept>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace sagetally {
+
+JournalSettings JournalFrom(const Config& config, const JournalFile& file) {
+  JournalSettings s;
+  s.folder = config.state_folder + "/journal";
+  s.legacy = config.state_folder + "/log";
+  s.node = config.name;
+  s.budget = config.disk_bytes;
+  s.classes = config.site.classes;
+  s.durability = file.synced ? Durability::kSynced : Durability::kWritten;
+  s.group = file.group;
+  s.reserve = file.reserve;
+  s.seed = config.seed;
+  s.segment_bytes = file.segment_bytes;
+  for (const std::string& name : file.synced_classes) {
+    const auto at = std::find(s.classes.begin(), s.classes.end(), name);
+    if (at == s.classes.end()) {
+      throw std::runtime_error("/journal/synced_classes: expected names of configured classes, found " +
+                               name);
+    }
+    s.durability_of[static_cast<int>(at - s.classes.begin())] = Durability::kSynced;
+  }
+  return s;
+}
+
+class JournalNode::SyncThread {
+ public:
+  explicit SyncThread(const Bell& bell) : bell_(bell), thread_([this] { Work(); }) {}
+  ~SyncThread() {
+    {
+      const std::lock_guard lock(mutex_);
+      over_ = true;
+    }
+    more_.notify_one();
+    thread_.join();
+  }
+  void Add(std::shared_ptr<File> file, std::function<void(int)> done) {
+    {
+      const std::lock_guard lock(mutex_);
+      asked_.push_back({std::move(file), std::move(done), 0});
+    }
+    more_.notify_one();
+  }
+  void Deliver() {
+    std::vector<Job> done;
+    {
+      const std::lock_guard lock(mutex_);
+      done.swap(done_);
+    }
+    for (const Job& job : done) job.done(job.error);
+  }
+
+ private:
+  struct Job {
+    std::shared_ptr<File> file;
+    std::function<void(int)> done;
+    int error = 0;
+  };
+  void Work() {
+    std::unique_lock lock(mutex_);
+    while (true) {
+      more_.wait(lock, [this] { return over_ || !asked_.empty(); });
+      if (over_) return;
+      Job job = std::move(asked_.front());
+      asked_.pop_front();
+      lock.unlock();
+      job.error = job.file->Sync();
+      lock.lock();
+      done_.push_back(std::move(job));
+      bell_.Ring();
+    }
+  }
+  const Bell& bell_;
+  std::mutex mutex_;
+  std::condition_variable more_;
+  std::deque<Job> asked_;
+  std::vector<Job> done_;
+  bool over_ = false;
+  std::thread thread_;
+};
+
+JournalNode::JournalNode(Loop& loop, Logger& log, const Config& config, const JournalFile& file,
+                         Ledger& ledger, SystemClock& clock, Heard heard)
+    : turn_(loop, [this] { journal_->Turn(); }),
+      progress_(loop, std::move(heard.progress)),
+      fenced_(loop, std::move(heard.fenced)),
+      bell_(loop, [this] {
+        if (syncs_) syncs_->Deliver();
+      }) {
+  journal_ = std::make_unique<SegmentJournal>(files_, JournalFrom(config, file), ledger, clock, log, *this);
+  const ReplayReport& report = journal_->report();
+  log.Info("journal.read", {{"note", journal_->note()},
+                            {"segments", report.segments.size()},
+                            {"epoch", journal_->epoch()},
+                            {"disk_bytes", journal_->disk_bytes()}});
+  const SystemClock::Carried carried = clock.CarryOn(report.last_moment);
+  if (carried.by <= Duration(0)) return;
+  log.Warn("clock.stepped_back", {{"by_ms", carried.by.count() / 1000}, {"measured", carried.measured}});
+  if (carried.measured) return;
+  // How long ago calls went out is not known: every window to repeat them counts as over.
+  for (const auto& [number, message] : ledger.messages()) {
+    if (message.may_have_run) ledger.Find(number)->may_have_run = Time(0);
+  }
+}
+
+JournalNode::~JournalNode() = default;
+
+void JournalNode::Sync(std::shared_ptr<File> file, std::function<void(int)> done) {
+  if (!syncs_) syncs_ = std::make_unique<SyncThread>(bell_);
+  syncs_->Add(std::move(file), std::move(done));
+}
+
+}  // namespace sagetally
--- /dev/null
+++ b/src/app/journal_node.h
@@ -0,0 +1,51 @@
+// The journal within a dispatcher: its timer, its thread for syncing, and the wall clock carried on over a
+// restart.
+#ifndef SAGETALLY_SRC_APP_JOURNAL_NODE_H_
+#define SAGETALLY_SRC_APP_JOURNAL_NODE_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "clock/clock.h"
+#include "config/config.h"
+#include "config/deploy.h"
+#include "net/bell.h"
+#include "net/loop.h"
+#include "store/fs/real.h"
+#include "store/journal.h"
+
+namespace sagetally {
+
+// Throws std::runtime_error naming the key at fault.
+JournalSettings JournalFrom(const Config& config, const JournalFile& file);
+
+class JournalNode : public JournalHost {
+ public:
+  struct Heard {
+    std::function<void()> progress;  // what waited for the journal may go on
+    std::function<void()> fenced;    // another process has the journal
+  };
+  JournalNode(Loop& loop, Logger& log, const Config& config, const JournalFile& file, Ledger& ledger,
+              SystemClock& clock, Heard heard);
+  ~JournalNode() override;
+
+  SegmentJournal& journal() { return *journal_; }
+
+  void TurnAfter(Duration d) override { turn_.After(d); }
+  void Progress() override { progress_.After(Duration(0)); }
+  void Sync(std::shared_ptr<File> file, std::function<void(int)> done) override;
+  void Fenced() override { fenced_.After(Duration(0)); }
+
+ private:
+  class SyncThread;
+  RealFileSystem files_;
+  Timer turn_, progress_, fenced_;
+  Bell bell_;
+  std::unique_ptr<SyncThread> syncs_;  // begun with the first sync
+  std::unique_ptr<SegmentJournal> journal_;
+};
+
+}  // namespace sagetally
+
+#endif  // SAGETALLY_SRC_APP_JOURNAL_NODE_H_
--- a/src/app/kept_node.cpp
+++ b/src/app/kept_node.cpp
@@ -1,8 +1,6 @@
 #include "app/kept_node.h"
 
-#include <sys/eventfd.h>
 #include <sys/stat.h>
-#include <unistd.h>
 
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -11,30 +9,6 @@
 
 namespace sagetally {
 
-class KeptNode::Bell {
- public:
-  Bell(Loop& loop, std::function<void()> rung)
-      : rung_(std::move(rung)),
-        fd_(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)),
-        event_(event_new(loop.base(), fd_.get(), EV_READ | EV_PERSIST, Heard, this)) {
-    event_add(event_.get(), nullptr);
-  }
-  void Ring() const {  // from any thread
-    const std::uint64_t one = 1;
-    [[maybe_unused]] const auto written = ::write(fd_.get(), &one, sizeof one);
-  }
-
- private:
-  static void Heard(evutil_socket_t fd, short, void* self) {
-    std::uint64_t times = 0;
-    [[maybe_unused]] const auto got = ::read(fd, &times, sizeof times);
-    static_cast<Bell*>(self)->rung_();
-  }
-  std::function<void()> rung_;
-  Fd fd_;
-  EventPtr event_;
-};
-
 KeptNode::KeptNode(Loop& loop, Logger& log, const Config& config, const KeptSettings& settings,
                    Ledger& ledger, const Clock& clock)
     : log_(log),
--- a/src/app/kept_node.h
+++ b/src/app/kept_node.h
@@ -11,10 +11,10 @@
 #include "config/deploy.h"
 #include "kept/keeper.h"
 #include "kept/operations.h"
+#include "net/bell.h"
 #include "net/control.h"
 #include "net/loop.h"
 #include "stages/chain.h"
-#include "store/store.h"
 
 namespace sagetally {
 
@@ -38,7 +38,6 @@
   kept::Keeper& keeper() { return keeper_; }
 
  private:
-  class Bell;  // rung by the store's threads
   void Asked(std::string_view line, const ControlServer::Answer& answer);
   nlohmann::json Status() const;
 
--- /dev/null
+++ b/src/cli/journal.h
@@ -0,0 +1,16 @@
+// `sagetally journal ...`: the journal of a running or a stopped node.
+#ifndef SAGETALLY_SRC_CLI_JOURNAL_H_
+#define SAGETALLY_SRC_CLI_JOURNAL_H_
+
+#include <ostream>
+
+#include "cli/options.h"
+
+namespace sagetally {
+
+// The exit code. Throws std::runtime_error.
+int RunJournal(const JournalOptions& options, std::ostream& out);
+
+}  // namespace sagetally
+
+#endif  // SAGETALLY_SRC_CLI_JOURNAL_H_
--- a/src/cli/kept.cpp
+++ b/src/cli/kept.cpp
@@ -17,7 +17,7 @@
 #include "clock/clock.h"
 #include "kept/files.h"
 #include "kept/operations.h"
-#include "store/store.h"
+#include "store/fd.h"
 
 namespace sagetally {
 namespace {
--- a/src/cli/options.cpp
+++ b/src/cli/options.cpp
@@ -98,6 +98,39 @@
   check->add_option("rules", k.rules, "the rule file")->envname("SAGETALLY_RULES")->required();
 }
 
+void AddJournal(CLI::App& app, JournalOptions& j) {
+  CLI::App* journal = app.add_subcommand("journal", "the journal of a running or a stopped node");
+  journal->require_subcommand(1);
+  journal->fallthrough();
+  const auto command = [&](const char* name, const char* text) {
+    CLI::App* sub = journal->add_subcommand(name, text);
+    sub->fallthrough();
+    sub->callback([&j, name] { j.command = name; });
+    sub->add_option("--state", j.state, "the node's state folder")->envname("BALANCER_STATE")->required();
+    sub->add_flag("--json", j.as_json, "JSON instead of a table")->envname("SAGETALLY_JSON");
+    return sub;
+  };
+  command("verify", "reads all of it; exit code 1 if it is damaged");
+  command("stats", "counts and sizes");
+  CLI::App* show = command("show", "the messages that are held or whose end has still to be told");
+  show->add_option("--limit", j.limit, "messages shown")
+      ->envname("SAGETALLY_LIMIT")
+      ->check(CLI::Range(1, 100'000'000))
+      ->capture_default_str();
+  show->add_flag("--all", j.all, "remembered ends too")->envname("SAGETALLY_ALL");
+  CLI::App* snapshot = command("snapshot", "copies it as it stands, while its node runs");
+  snapshot->add_option("--output", j.output, "a folder to make")->envname("SAGETALLY_OUTPUT")->required();
+  CLI::App* restore = command("restore", "makes a snapshot the journal of a stopped node");
+  restore->add_option("snapshot", j.snapshot, "the snapshot's folder")
+      ->envname("SAGETALLY_SNAPSHOT")
+      ->required();
+  restore->add_flag("--replace", j.replace, "in place of the journal that is there")
+      ->envname("SAGETALLY_REPLACE");
+  restore->add_flag("--exact", j.exact, "nothing has happened since: its node was stopped before")
+      ->envname("SAGETALLY_EXACT");
+  restore->add_flag("--damaged", j.damaged, "although the snapshot is damaged")->envname("SAGETALLY_DAMAGED");
+}
+
 void AddVersion(CLI::App& app) {
   app.set_version_flag("--version", std::string("sagetally ") + SAGETALLY_VERSION);
   for (CLI::App* sub : app.get_subcommands({})) AddVersion(*sub);
@@ -130,6 +163,7 @@
       ->fallthrough()
       ->callback([&] { line.command = CommandLine::Command::kCheckConfig; });
   AddKept(app, line.kept);
+  AddJournal(app, line.journal);
   AddVersion(app);
   try {
     app.parse(argc, argv);
@@ -138,6 +172,7 @@
     line.exit_code = app.exit(error) == 0 ? 0 : kWrongUsage;
     return line;
   }
+  if (!line.journal.command.empty()) line.command = CommandLine::Command::kJournal;
   if (!line.kept.command.empty()) line.command = CommandLine::Command::kKept;
   return line;
 }
--- a/src/cli/options.h
+++ b/src/cli/options.h
@@ -36,11 +36,22 @@
   bool as_json = false, with_body = false, yes = false;
 };
 
+struct JournalOptions {  // of `sagetally journal ...`
+  std::string command;
+  std::string state;     // the node's state folder
+  std::string output;    // snapshot: a folder to make
+  std::string snapshot;  // restore: such a folder
+  int limit = 50;
+  bool as_json = false, all = false;
+  bool replace = false, exact = false, damaged = false;
+};
+
 struct CommandLine {
-  enum class Command { kServe, kCheckConfig, kKept, kNone };
+  enum class Command { kServe, kCheckConfig, kKept, kJournal, kNone };
   Command command = Command::kServe;
   Options options;
   KeptOptions kept;
+  JournalOptions journal;
   int exit_code = 0;  // kNone: help or a version was asked for, or the usage was wrong (2)
 };
 
--- a/src/clock/clock.cpp
+++ b/src/clock/clock.cpp
@@ -17,6 +17,16 @@
   std::from_chars(text.data(), text.data() + text.size(), boot_, 16);
 }
 
+SystemClock::Carried SystemClock::CarryOn(const Moment& last) {
+  const Moment now = Stamp();
+  if (last.wall <= now.wall) return {};
+  Carried carried;
+  carried.measured = last.boot != 0 && last.boot == now.boot && last.steady <= now.steady;
+  carried.by = last.wall - now.wall + (carried.measured ? now.steady - last.steady : Duration(0));
+  wall_ += carried.by;
+  return carried;
+}
+
 Moment SystemClock::Stamp() const {
   const auto steady = std::chrono::steady_clock::now().time_since_epoch();
   return {Now(), std::chrono::duration_cast<Duration>(steady), boot_};
--- a/src/clock/clock.h
+++ b/src/clock/clock.h
@@ -32,6 +32,14 @@
     return wall_ + std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() - steady_);
   }
   Moment Stamp() const override;
+  // Goes on from the last moment of an earlier process: if the wall's clock was set back meanwhile, by the
+  // machine's steady one or, if that has begun anew, from that moment on. How far it was carried, and whether
+  // that was measured.
+  struct Carried {
+    Duration by{0};
+    bool measured = true;
+  };
+  Carried CarryOn(const Moment& last);
 
  private:
   std::chrono::steady_clock::time_point steady_ = std::chrono::steady_clock::now();
--- a/src/config/deploy.cpp
+++ b/src/config/deploy.cpp
@@ -41,6 +41,16 @@
   return k;
 }
 
+JournalFile ReadJournal(const Json& part) {
+  JournalFile j;
+  j.synced = part.value("durability", "written") == "synced";
+  j.synced_classes = part.value("synced_classes", j.synced_classes);
+  j.group = Milliseconds(part, "group_ms", j.group);
+  j.reserve = part.value("reserve", false);
+  j.segment_bytes = static_cast<std::size_t>(part.value("segment_kb", 0.0) * 1024);
+  return j;
+}
+
 }  // namespace
 
 std::vector<SettingName> NodeSettings() { return SettingNames(Json::parse(kNodeSchema)); }
@@ -79,6 +89,7 @@
     file.eureka = e;
   }
   if (root.contains("kept")) file.kept = ReadKept(root["kept"]);
+  if (root.contains("journal")) file.journal = ReadJournal(root["journal"]);
   if (file.role != Role::kBoth && (!file.cloudevents || !file.eureka)) {
     throw std::runtime_error("/role: expected the keys cloudevents and eureka beside the role " + role +
                              ", found only some of them");
--- a/src/config/deploy.h
+++ b/src/config/deploy.h
@@ -46,11 +46,20 @@
   Duration backoff_most = std::chrono::minutes(10);
 };
 
+struct JournalFile {    // how hard the journal holds on to what it is given
+  bool synced = false;  // every class outlasts the machine's power
+  std::vector<std::string> synced_classes;
+  Duration group = std::chrono::milliseconds(2);
+  bool reserve = false;
+  std::size_t segment_bytes = 0;  // 0: by the budget
+};
+
 struct DeployFile {
   Role role = Role::kBoth;
   std::optional<CloudEventsSettings> cloudevents;
   std::optional<EurekaSettings> eureka;
   std::optional<KeptSettings> kept;
+  JournalFile journal;
 };
 
 std::vector<SettingName> NodeSettings();
--- a/src/core/ledger.cpp
+++ b/src/core/ledger.cpp
@@ -63,6 +63,7 @@
 void Ledger::Remove(std::uint64_t number) {
   const auto at = messages_.find(number);
   if (at == messages_.end()) return;
+  if (on_removed) on_removed(at->second);
   const auto named = by_id_.find(Identity(at->second.request));
   if (named != by_id_.end() && named->second == number) by_id_.erase(named);
   if (at->second.end == End::kNone) --held_;
--- a/src/core/ledger.h
+++ b/src/core/ledger.h
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <functional>
 #include <map>
 #include <string>
 #include <unordered_map>
@@ -37,6 +38,7 @@
   void Age(Time now);
   // Forgets the oldest remembered end; false if there is none that may go.
   bool ForgetOldest();
+  std::function<void(const Message&)> on_removed;  // may be empty; told before a message goes
 
  private:
   static std::string Identity(const Request& request);
--- a/src/core/ports.h
+++ b/src/core/ports.h
@@ -9,7 +9,7 @@
 
 namespace sagetally {
 
-class Journal {  // outlives the process; each call is on record when it returns
+class Journal {  // outlives the process
  public:
   virtual ~Journal() = default;
   // All or nothing; false if there is no room, and then nothing was written.
@@ -19,6 +19,9 @@
   virtual void Ended(const Message& message) = 0;
   virtual void Told(const Message& message) = 0;  // its notice was heard
   virtual void Kept(const Message&) {}            // the store of kept messages has it
+  // Whether all that was said of it is as well on record as its class asks for. Until it is, nothing may
+  // follow from it: no answer, no call, no notice. The journal's host hears when to ask again.
+  virtual bool Safe(const Message&) const { return true; }
 };
 
 class Caller {  // calls to endpoints; each Call gets one CallResult, later
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -14,6 +14,8 @@
 
 namespace sagetally {
 
+constexpr int kNoClass = -1;  // of a message whose class is not configured any more
+
 enum class Form : std::uint8_t { kPlain = 0, kEvent = 1 };  // which front it came through, and how it is told
 
 struct Request {        // a message as a front hands it in
--- a/src/kept/keeper.cpp
+++ b/src/kept/keeper.cpp
@@ -44,9 +44,12 @@
 }
 
 const std::string& Keeper::ClassName(const Message& m) const {
+  static const std::string kGone = "(not configured any more)";
+  if (m.request.message_class == kNoClass) return kGone;
   return settings_.review->class_names[static_cast<std::size_t>(m.request.message_class)];
 }
 double Keeper::WorthOf(const Message& m) const {
+  if (m.request.message_class == kNoClass) return 0;
   return settings_.review->classes[static_cast<std::size_t>(m.request.message_class)].worth;
 }
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -2,9 +2,11 @@
 #include <csignal>
 #include <exception>
 #include <iostream>
+#include <stdexcept>
 
 #include "app/dispatcher.h"
 #include "app/forwarder.h"
+#include "cli/journal.h"
 #include "cli/kept.h"
 #include "cli/options.h"
 #include "kept/files.h"
@@ -36,6 +38,9 @@
   Node node(loop, log, config, deploy);
   running = &node;
   loop.Run();
+  if constexpr (requires { node.failure(); }) {
+    if (!node.failure().empty()) throw std::runtime_error(node.failure());
+  }
 }
 
 void Serve(const Options& options) {
@@ -52,6 +57,7 @@
 void CheckConfig(const Options& options) {
   const DeployFile deploy = options.ReadNode();
   const Config config = options.ReadConfiguration(NeedsOf(deploy));
+  JournalFrom(config, deploy.journal);
   if (deploy.kept && !deploy.kept->rules_path.empty())
     kept::ReadRules(deploy.kept->rules_path, config.site.classes);
   std::cout << "configuration can be used: node " << config.name << "\n";
@@ -74,6 +80,8 @@
         return 0;
       case CommandLine::Command::kKept:
         return RunKept(line.kept, line.options, std::cout, std::cerr);
+      case CommandLine::Command::kJournal:
+        return RunJournal(line.journal, std::cout);
       case CommandLine::Command::kServe:
         Serve(line.options);
         return 0;
--- /dev/null
+++ b/src/net/bell.h
@@ -0,0 +1,45 @@
+// Rung by any thread, heard on the loop.
+#ifndef SAGETALLY_SRC_NET_BELL_H_
+#define SAGETALLY_SRC_NET_BELL_H_
+
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <cstdint>
+#include <functional>
+#include <utility>
+
+#include "net/loop.h"
+#include "store/fd.h"
+
+namespace sagetally {
+
+class Bell {
+ public:
+  Bell(Loop& loop, std::function<void()> rung)
+      : rung_(std::move(rung)),
+        fd_(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)),
+        event_(event_new(loop.base(), fd_.get(), EV_READ | EV_PERSIST, Heard, this)) {
+    event_add(event_.get(), nullptr);
+  }
+  Bell(const Bell&) = delete;
+  Bell& operator=(const Bell&) = delete;
+  void Ring() const {
+    const std::uint64_t one = 1;
+    [[maybe_unused]] const auto written = ::write(fd_.get(), &one, sizeof one);
+  }
+
+ private:
+  static void Heard(evutil_socket_t fd, short, void* self) {
+    std::uint64_t times = 0;
+    [[maybe_unused]] const auto got = ::read(fd, &times, sizeof times);
+    static_cast<Bell*>(self)->rung_();
+  }
+  std::function<void()> rung_;
+  Fd fd_;
+  EventPtr event_;
+};
+
+}  // namespace sagetally
+
+#endif  // SAGETALLY_SRC_NET_BELL_H_
--- a/src/net/control.cpp
+++ b/src/net/control.cpp
@@ -11,7 +11,7 @@
 #include <stdexcept>
 #include <utility>
 
-#include "store/store.h"
+#include "store/fd.h"
 
 namespace sagetally {
 namespace {
--- a/src/net/peers.h
+++ b/src/net/peers.h
@@ -7,7 +7,7 @@
 
 #include "config/config.h"
 #include "net/loop.h"
-#include "store/store.h"
+#include "store/fd.h"
 
 namespace sagetally {
 
--- a/src/stages/admit.cpp
+++ b/src/stages/admit.cpp
@@ -1,8 +1,15 @@
 #include "stages/admit.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace sagetally {
+namespace {
+
+// While the journal has no room; it looks for some all the time.
+constexpr Duration kComeAgain = std::chrono::seconds(1);
+
+}  // namespace
 
 void Admit::Take(std::vector<Request> requests, Reply reply) {
   if (stopping_) {
@@ -31,7 +38,7 @@
   while (!on_record && ledger_.ForgetOldest()) on_record = journal_.Taken(taken);
   if (!on_record) {
     for (const std::uint64_t number : waiting.numbers) ledger_.Remove(number);
-    reply({Verdict::kRefused, Duration(0), "no room on disk"});
+    reply({Verdict::kRefused, kComeAgain, "no room on disk"});
     return;
   }
   for (const Message* message : taken) {
@@ -56,6 +63,15 @@
 
 void Admit::AnswerTaken() {
   for (Waiting& waiting : std::exchange(waiting_, {})) {
+    // Not yet safely on record: asked again when the journal has moved on.
+    const bool safe = std::all_of(waiting.numbers.begin(), waiting.numbers.end(), [&](std::uint64_t number) {
+      const Message* m = ledger_.Find(number);
+      return m == nullptr || journal_.Safe(*m);
+    });
+    if (!safe) {
+      waiting_.push_back(std::move(waiting));
+      continue;
+    }
     Message* only = waiting.numbers.size() == 1 ? ledger_.Find(waiting.numbers.front()) : nullptr;
     // Given up in the same step: the answer itself is the end, and no notice is owed.
     const bool refused = only != nullptr && only->end == End::kRefused && only->attempts == 0;
--- a/src/stages/book.cpp
+++ b/src/stages/book.cpp
@@ -1,5 +1,6 @@
 #include "stages/book.h"
 
+#include <utility>
 #include <vector>
 
 namespace sagetally {
@@ -17,6 +18,10 @@
 }
 
 void Book::Tell(Message& message) {
+  if (!journal_.Safe(message)) {
+    waiting_.insert(message.number);
+    return;
+  }
   if (message.notice_owed) teller_.Tell(message);
   Owe(message);
 }
@@ -49,6 +54,12 @@
   ledger_.Settle(*message);
 }
 
+void Book::Progress() {
+  for (const std::uint64_t number : std::exchange(waiting_, {})) {
+    if (Message* message = ledger_.Find(number)) Tell(*message);
+  }
+}
+
 void Book::TellAgain() {
   std::vector<std::uint64_t> owed;
   for (const auto& [number, message] : ledger_.messages()) {
--- a/src/stages/book.h
+++ b/src/stages/book.h
@@ -2,6 +2,8 @@
 #ifndef SAGETALLY_SRC_STAGES_BOOK_H_
 #define SAGETALLY_SRC_STAGES_BOOK_H_
 
+#include <set>
+
 #include "clock/clock.h"
 #include "core/ledger.h"
 #include "core/ports.h"
@@ -20,13 +22,15 @@
   void Owe(Message& message);               // to the store of kept messages, if it is; else lets it go
   void Kept(std::uint64_t number);          // the store has it, or never will
   void TellAgain();                         // after a restart: all that is owed
+  void Progress();                          // tells what waited for the journal
 
  private:
   Ledger& ledger_;
   Journal& journal_;
   Teller& teller_;
   const Clock& clock_;
-  Keep* keep_;  // may be null
+  Keep* keep_;                       // may be null
+  std::set<std::uint64_t> waiting_;  // ended and answered, and not yet safe on record
 };
 
 }  // namespace sagetally
--- a/src/stages/chain.h
+++ b/src/stages/chain.h
@@ -17,7 +17,8 @@
       : ledger(ledger),
         keep(keep),
         book(ledger, journal, teller, clock, keep),
-        send(ledger, journal, caller, clock, keep != nullptr),
+        send(ledger, journal, caller, clock, keep != nullptr,
+             [this](const CallResult& result) { relay.Back(result); }),
         route(Sender(site.module, seed), ledger, send, book, caller, host, clock),
         relay(ledger, journal, route, book, clock, keep),
         admit(ledger, journal, route, book, clock, site.module.most_held, keep),
@@ -29,7 +30,7 @@
     std::vector<std::uint64_t> forbidden;
     for (const auto& [number, message] : ledger.messages()) {
       if (message.end != End::kNone) continue;
-      if (keep != nullptr && !keep->MayGoOn(message)) {
+      if (message.request.message_class == kNoClass || (keep != nullptr && !keep->MayGoOn(message))) {
         forbidden.push_back(number);
       } else {
         route.Taken(message);
@@ -41,6 +42,13 @@
     book.TellAgain();
   }
 
+  // What waited for the journal may go on.
+  void Progress() {
+    send.Progress();
+    book.Progress();
+    admit.AnswerTaken();
+  }
+
   void Step() {
     route.Step();
     admit.AnswerTaken();
--- a/src/stages/route.cpp
+++ b/src/stages/route.cpp
@@ -71,6 +71,7 @@
   for (const Action& action : actions) {
     std::visit([this](const auto& a) { Do(a); }, action);
   }
+  if (!send_.idle()) send_.Progress();
   ledger_.Age(clock_.Now());
 }
 
@@ -86,7 +87,7 @@
 
 void Route::Do(const Cancel& a) {
   if (const Message* m = ledger_.Find(NumberOf(a.id)); m != nullptr && m->attempts == a.attempt + 1) {
-    caller_.Cancel(m->number);
+    if (!send_.Cancel(m->number)) caller_.Cancel(m->number);
   }
 }
 
--- a/src/stages/send.cpp
+++ b/src/stages/send.cpp
@@ -1,6 +1,12 @@
 #include "stages/send.h"
 
 namespace sagetally {
+namespace {
+
+// What the module knew when it chose the endpoint holds for so long: waits and drains may have come since.
+constexpr Duration kFresh = std::chrono::milliseconds(50);
+
+}  // namespace
 
 void SendStage::Go(std::uint64_t number, const std::string& endpoint, Duration time_out) {
   Message* message = ledger_.Find(number);
@@ -12,7 +18,38 @@
   message->out_at = endpoint;
   if (histories_) message->history.push_back({now, endpoint, {}, Duration(0)});
   journal_.Attempted(*message);
-  caller_.Call({number, &message->request, endpoint, time_out});
+  if (journal_.Safe(*message)) {
+    caller_.Call({number, &message->request, endpoint, time_out});
+  } else {
+    waiting_[number] = {endpoint, time_out, now.wall};
+  }
+}
+
+void SendStage::Progress() {
+  const Time now = clock_.Now();
+  std::vector<std::uint64_t> unsent = std::exchange(unsent_, {});
+  for (auto at = waiting_.begin(); at != waiting_.end();) {
+    const Message* message = ledger_.Find(at->first);
+    if (message != nullptr && message->end == End::kNone) {
+      if (!journal_.Safe(*message)) {
+        ++at;
+        continue;
+      }
+      if (now - at->second.since <= kFresh) {
+        caller_.Call({at->first, &message->request, at->second.endpoint, at->second.time_out});
+        at = waiting_.erase(at);
+        continue;
+      }
+    }
+    unsent.push_back(at->first);
+    at = waiting_.erase(at);
+  }
+  for (const std::uint64_t number : unsent) {
+    CallResult never_left;
+    never_left.number = number;
+    never_left.outcome = Outcome::kMoot;
+    back_(never_left);
+  }
 }
 
 }  // namespace sagetally
--- /dev/null
+++ b/src/store/fs/real.h
@@ -0,0 +1,22 @@
+// The system's own files.
+#ifndef SAGETALLY_SRC_STORE_FS_REAL_H_
+#define SAGETALLY_SRC_STORE_FS_REAL_H_
+
+#include "store/fs/file_system.h"
+
+namespace sagetally {
+
+class RealFileSystem : public FileSystem {  // new files and folders are the owner's alone
+ public:
+  std::unique_ptr<File> Open(const std::string& path, Mode mode, int& error) override;
+  int MakeFolder(const std::string& path) override;
+  std::vector<std::string> List(const std::string& folder, int& error) override;
+  int Rename(const std::string& from, const std::string& to) override;
+  int Remove(const std::string& path) override;
+  int SyncFolder(const std::string& path) override;
+  std::unique_ptr<FileLock> Lock(const std::string& path, int& error) override;
+};
+
+}  // namespace sagetally
+
+#endif  // SAGETALLY_SRC_STORE_FS_REAL_H_
--- /dev/null
+++ b/src/store/journal.h
@@ -0,0 +1,188 @@
+// The journal: segments of records under a manifest, compacted in small steps while traffic flows. What was
+// taken on always finds room for its attempts, outcomes and end; what would not is refused.
+// docs/design/journal.md.
+#ifndef SAGETALLY_SRC_STORE_JOURNAL_H_
+#define SAGETALLY_SRC_STORE_JOURNAL_H_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "clock/clock.h"
+#include "core/ledger.h"
+#include "core/ports.h"
+#include "log/log.h"
+#include "store/fs/file_system.h"
+#include "store/manifest.h"
+#include "store/replay.h"
+
+namespace sagetally {
+
+enum class Durability {
+  kWritten,  // outlasts the process
+  kSynced    // outlasts the machine's power: answers, calls and notices wait for it
+};
+
+struct JournalSettings {
+  std::string folder;  // the journal's own; made if it isn't there
+  std::string legacy;  // a log of format 1 to take over; need not exist
+  std::string node;
+  std::uint64_t budget = 3'000'000;         // bytes of all its files, each counted in whole 512 bytes
+  std::uint64_t segment_bytes = 0;          // 0: a twenty-fourth of the budget, from 32 KiB to 8 MiB
+  std::vector<std::string> classes;         // names, by number
+  std::map<int, Durability> durability_of;  // of classes that differ
+  Durability durability = Durability::kWritten;
+  Duration group = std::chrono::milliseconds(2);  // longest that a group commit waits for company
+  bool reserve = false;                           // holds blocks of the disk for the records to come
+  std::uint64_t seed = 1;
+};
+
+class JournalHost {  // the loop that the journal runs in
+ public:
+  virtual ~JournalHost() = default;
+  virtual void TurnAfter(Duration d) = 0;  // call Turn; one at a time, a new one replaces the last
+  virtual void Progress() = 0;  // what was not Safe may be so now; not from within a call of the journal
+  // Syncs the file away from the loop and calls back on it, later.
+  virtual void Sync(std::shared_ptr<File> file, std::function<void(int error)> done) = 0;
+  virtual void Fenced() = 0;  // a newer process has the journal: this one must end, saying nothing more
+};
+
+class SegmentJournal : public Journal {
+ public:
+  // Reads what the folder holds into `ledger`, which tells it of messages that go. Throws std::runtime_error
+  // naming folder or file: held by another process, read-only, of a newer format, no room to begin.
+  SegmentJournal(FileSystem& files, JournalSettings settings, Ledger& ledger, const Clock& clock, Logger& log,
+                 JournalHost& host);
+  ~SegmentJournal() override;
+  SegmentJournal(const SegmentJournal&) = delete;
+  SegmentJournal& operator=(const SegmentJournal&) = delete;
+
+  bool Taken(std::span<const Message* const> messages) override;
+  void Attempted(const Message& message) override;
+  void Outcame(const Message& message, Outcome outcome) override;
+  void Ended(const Message& message) override;
+  void Told(const Message& message) override;
+  void Kept(const Message& message) override;
+  bool Safe(const Message& message) const override;
+
+  void Turn();  // steps that are due: compaction, group commit, trying again after an error
+
+  struct Counters {
+    std::uint64_t appended = 0, copied = 0;  // bytes, frames included
+    std::uint64_t rolls = 0, drops = 0, syncs = 0, failures = 0;
+    Duration longest_step{0};  // of compaction
+  };
+  const Counters& counters() const { return counters_; }
+  const ReplayReport& report() const { return report_; }
+  bool fresh() const { return fresh_; }              // nothing was on record
+  const std::string& note() const { return note_; }  // of the reading, for the log
+  std::uint64_t disk_bytes() const;                  // as the budget counts them
+  std::uint64_t live_bytes() const { return live_bytes_; }
+  std::uint64_t segments() const { return segments_.size(); }
+  std::uint64_t epoch() const { return manifest_.epoch; }
+  bool full() const { return full_; }
+  bool writable() const { return !unwritable_ && !broken_ && !fenced_; }
+
+ private:
+  struct Segment {
+    std::uint64_t number = 0, bytes = 0, live = 0;
+    std::vector<std::uint64_t> based;  // messages whose state was written here, some since copied forward
+    std::uint64_t copied_until = 0;    // sequence number of the last copy made of them
+  };
+  struct Info {                 // of one live message
+    std::uint64_t segment = 0;  // that holds its state
+    std::uint64_t last = 0;     // sequence number of its latest record
+    std::uint32_t ordinal = 0;
+    std::uint32_t live = 0, to_come = 0;  // bytes
+    bool dirty = false;                   // its latest records could not be written
+  };
+  struct Gone {
+    std::uint64_t number = 0;
+    std::uint32_t ordinal = 0;
+    std::uint64_t sequence = 0;
+  };
+
+  void Read();
+  void Begin();
+  void TakeOverClasses();
+  void Quarantine(const std::vector<std::pair<std::string, std::string>>& pieces);
+
+  void Record(const Message& message, const std::function<std::string(std::uint32_t ordinal)>& record);
+  bool Write(std::string_view record, bool must, bool copy = false);
+  int AppendFrame(std::string_view record);
+  bool Failed(int error, bool must);
+  bool WriteState(const Message& message, Info& info, bool copy);
+  void Base(std::uint64_t number, Info& info);
+  void Count(const Message& message, Info& info);
+  void Uncount(const Info& info);
+  void Removed(const Message& message);
+
+  int Roll(bool trust_head = true);
+  bool Drop();
+  bool CompactSome(std::uint64_t most);
+  void CompactAfter(std::uint64_t appended);
+  bool Wanted() const;
+  bool MakeRoom(std::uint64_t size, bool copy);
+  bool CheckFence();
+
+  bool GrowReserve(std::uint64_t need);
+  bool ReleaseReserve(std::uint64_t size);
+  void ShrinkReserve();
+
+  bool AnySynced() const;
+  Durability DurabilityOf(const Message& message) const;
+  void WantSync();
+  void StartSync();
+  void Synced(std::uint64_t until, int error);
+  void SyncFailed(int error);
+
+  void TryAgain();
+  void Schedule();
+  std::string Path(std::string_view name) const { return settings_.folder + "/" + std::string(name); }
+  std::uint64_t SoftLimit() const;
+
+  FileSystem& files_;
+  const JournalSettings settings_;
+  const std::uint64_t segment_bytes_;
+  Ledger& ledger_;
+  const Clock& clock_;
+  Logger& log_;
+  JournalHost& host_;
+  std::unique_ptr<FileLock> lock_;
+  Manifest manifest_;
+  ReplayReport report_;
+  std::deque<Segment> segments_;  // oldest first; the last one is written to
+  std::shared_ptr<File> head_;
+  std::unordered_map<std::uint64_t, Info> infos_;
+  std::set<std::uint64_t> dirty_;
+  std::map<std::uint64_t, std::uint32_t> tombstones_;  // gone while dirty: number, ordinal
+  std::deque<Gone> recent_;                            // gone by records that are not synced yet
+  std::uint64_t sequence_ = 1;                         // of the next record
+  std::uint64_t written_in_ = 0;                       // segment of the last record
+  std::uint64_t synced_ = 0;                           // records up to here outlast the machine's power
+  std::uint64_t live_bytes_ = 0, to_come_ = 0;
+  std::uint64_t segment_blocks_ = 0;  // bytes of all segments, in whole blocks
+  std::uint64_t other_blocks_ = 0;    // manifest, lock, quarantine
+  std::unique_ptr<File> reserve_;
+  std::uint64_t reserve_bytes_ = 0;
+  Counters counters_;
+  std::string note_;
+  bool fresh_ = false, compacting_ = false, retrying_ = false;
+  bool full_ = false, unwritable_ = false, broken_ = false, fenced_ = false;
+  bool sync_out_ = false;
+  bool head_untrusted_ = false;  // a sync of it failed
+  Time compact_due_ = Time::max(), sync_due_ = Time::max(), retry_due_ = Time::max();
+  Duration retry_after_{0};
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // a sync may come back after it is gone
+};
+
+}  // namespace sagetally
+
+#endif  // SAGETALLY_SRC_STORE_JOURNAL_H_
--- /dev/null
+++ b/src/store/legacy.h
@@ -0,0 +1,23 @@
+// Format 1: one file of records, as journals were before segments. Read only, to be taken over.
+#ifndef SAGETALLY_SRC_STORE_LEGACY_H_
+#define SAGETALLY_SRC_STORE_LEGACY_H_
+
+#include <cstdint>
+#include <string>
+
+#include "core/ledger.h"
+#include "store/fs/file_system.h"
+
+namespace sagetally {
+
+struct LegacyReport {
+  bool found = false;
+  std::uint64_t records = 0, torn_bytes = 0;
+};
+
+// Throws std::runtime_error naming the file if it can't be read.
+LegacyReport ReadLegacy(FileSystem& files, const std::string& path, Ledger& ledger);
+
+}  // namespace sagetally
+
+#endif  // SAGETALLY_SRC_STORE_LEGACY_H_
--- /dev/null
+++ b/src/store/replay.h
@@ -0,0 +1,55 @@
+// Reads a journal's folder, segment by segment, without changing anything in it.
+#ifndef SAGETALLY_SRC_STORE_REPLAY_H_
+#define SAGETALLY_SRC_STORE_REPLAY_H_
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "store/manifest.h"
+#include "store/records.h"
+#include "store/segment.h"
+
+namespace sagetally {
+
+struct SegmentReport {
+  std::uint64_t number = 0, epoch = 0, bytes = 0, frames = 0;
+  bool missing = false, no_header = false;
+  std::vector<Unreadable> unreadable;  // offsets in the file
+};
+struct MissingRecords {  // sequence numbers, the second one past them
+  std::uint64_t from = 0, to = 0;
+};
+
+struct ReplayReport {
+  Manifest manifest;
+  bool manifest_lost = false;  // it was put together from the segments
+  std::vector<SegmentReport> segments;
+  std::uint64_t records = 0, bytes = 0;
+  std::uint64_t unreadable_bytes = 0;   // with no record missing: a torn tail
+  std::vector<MissingRecords> missing;  // records known to be lost
+  std::uint64_t rejected = 0;           // whole frames that hold no record
+  std::uint64_t next_sequence = 1;
+  std::vector<std::uint64_t> suspects;  // messages whose history is incomplete
+  std::size_t lost = 0;                 // messages whose state is missing
+  Moment last_moment;
+  bool damaged() const { return !missing.empty() || rejected > 0 || manifest_lost || lost > 0; }
+};
+
+struct ReplayOptions {
+  // Told each unreadable stretch while its bytes are at hand.
+  std::function<void(std::uint64_t segment, const Unreadable&, std::string_view bytes)> on_unreadable;
+};
+
+// No journal in the folder: a report without segments. Throws std::runtime_error naming the file at fault if
+// it is a newer format or can't be read.
+ReplayReport Replay(FileSystem& files, const std::string& folder, Applier& applier,
+                    const ReplayOptions& options = {});
+
+// The numbers of the segments there are, in order.
+std::vector<std::uint64_t> SegmentsIn(FileSystem& files, const std::string& folder);
+
+}  // namespace sagetally
+
+#endif  // SAGETALLY_SRC_STORE_REPLAY_H_
--- a/tests/kept/kill_test.cpp
+++ b/tests/kept/kill_test.cpp
@@ -3,30 +3,13 @@
 #include <boost/random/uniform_int_distribution.hpp>
 #include <fstream>
 
+#include "../node/process.h"
 #include "kept/files.h"
-#include "lab/try/child.h"
 #include "partner.h"
 
 namespace sagetally {
 namespace {
 
-// One life of the program; its log is the folder's.
-struct Process {
-  Process(const std::string& program, const std::string& folder)
-      : child({program, "serve", "--config", folder + "/config.json", "--node-file", folder + "/node.json"},
-              "", folder + "/output") {}
-  std::uint16_t Port() {  // once it is ready; 0 until then
-    if (port == 0) port = lab::ReadyPort(child.log()).value_or(0);
-    return port;
-  }
-  int End(int signal) {
-    child.Signal(signal);
-    return child.Wait();
-  }
-  lab::Child child;
-  std::uint16_t port = 0;
-};
-
 void Run(const std::string& program, int kills, std::uint64_t seed) {
   World w(0, 24, 200);
   Partner partner(w.loop, seed, 10s);
--- /dev/null
+++ b/tests/node/process.h
@@ -0,0 +1,30 @@
+// One life of the program; its log is a file in its folder.
+#ifndef SAGETALLY_TESTS_NODE_PROCESS_H_
+#define SAGETALLY_TESTS_NODE_PROCESS_H_
+
+#include <string>
+
+#include "lab/try/child.h"
+
+namespace sagetally {
+
+struct Process {
+  // `folder` holds config.json and node.json.
+  Process(const std::string& program, const std::string& folder)
+      : child({program, "serve", "--config", folder + "/config.json", "--node-file", folder + "/node.json"},
+              "", folder + "/output") {}
+  std::uint16_t Port() {  // once it is ready; 0 until then
+    if (port == 0) port = lab::ReadyPort(child.log()).value_or(0);
+    return port;
+  }
+  int End(int signal) {
+    child.Signal(signal);
+    return child.Wait();
+  }
+  lab::Child child;
+  std::uint16_t port = 0;
+};
+
+}  // namespace sagetally
+
+#endif  // SAGETALLY_TESTS_NODE_PROCESS_H_
--- /dev/null
+++ b/tests/store/chain_test.cpp
@@ -0,0 +1,203 @@
+// The real stages over a journal whose disk fills up or takes its time: nothing follows from what is not on
+// record.
+#include "stages/chain.h"
+
+#include "../node/world.h"
+#include "journal_world.h"
+
+namespace sagetally {
+namespace {
+
+struct Whole : Caller, Teller, Host, JournalHost {
+  Whole(FaultyFileSystem& disk, TestClock& clock, const Config& config, const JournalSettings& settings)
+      : clock(clock),
+        journal(disk, settings, ledger, clock, log, *this),
+        chain(config.site, 1, ledger, journal, *this, *this, *this, clock) {
+    chain.route.Listed(config.known);
+    chain.Resume();
+  }
+  void Call(const CallOrder& order) override { calls.push_back(order); }
+  void Cancel(std::uint64_t) override {}
+  void CloseIdle(const std::string&) override {}
+  void Learn(const EndpointNews&) override {}
+  void Forget(const std::string&) override {}
+  void Tell(const Message& m) override { told.push_back(m.number); }
+  void StepSoon() override { step = true; }
+  void WakeAfter(Duration d) override { wake = clock.now + d; }
+  void TellPeers(const std::string&) override {}
+  void Log(const std::string&) override {}
+  void TurnAfter(Duration d) override { turn = clock.now + d; }
+  void Progress() override { progress = true; }
+  void Sync(std::shared_ptr<File> file, std::function<void(int)> done) override {
+    syncs.emplace_back(std::move(file), std::move(done));
+  }
+  void Fenced() override {}
+
+  void Settle() {
+    while (step || progress) {
+      if (std::exchange(progress, false)) chain.Progress();
+      if (std::exchange(step, false)) chain.Step();
+    }
+  }
+  void Pass(Duration d) {
+    const Time until = clock.now + d;
+    for (Settle(); std::min(wake, turn) <= until; Settle()) {
+      clock.now = std::max(clock.now, std::min(wake, turn));
+      if (turn <= clock.now) turn = Time::max(), journal.Turn();
+      if (wake <= clock.now) wake = Time::max(), chain.route.Add(WakeDue{});
+    }
+    clock.now = until;
+  }
+  void Post(int cls, const std::string& id) {
+    Request r;
+    r.id = id;
+    r.key = "key-" + id;
+    r.message_class = cls;
+    r.destination = 7;
+    r.time_left = std::chrono::seconds(8);
+    std::vector<Request> one = {r};
+    chain.intake.Take(std::move(one), [this, id](const Answer& answer) {
+      answers[id] = answer;
+      return true;
+    });
+    Settle();
+  }
+  void Finish(Outcome outcome) {
+    CallResult result;
+    result.number = calls.front().number;
+    result.outcome = outcome;
+    calls.erase(calls.begin());
+    chain.relay.Back(result);
+    Settle();
+  }
+  void FinishSyncs() {
+    for (auto& [file, done] : std::exchange(syncs, {})) done(file->Sync());
+    Settle();
+  }
+
+  TestClock& clock;
+  Logger log{LogOptions{LogFormat::kText, static_cast<LogLevel>(9)}};
+  Ledger ledger;
+  bool step = false, progress = false;
+  Time wake = Time::max(), turn = Time::max();
+  std::vector<std::pair<std::shared_ptr<File>, std::function<void(int)>>> syncs;
+  std::vector<CallOrder> calls;
+  std::vector<std::uint64_t> told;
+  std::map<std::string, Answer> answers;
+  SegmentJournal journal;
+  Chain chain;
+};
+
+Config OneEndpoint() {
+  World w(0, 4, 40);
+  w.ports = {9};
+  return ParseConfig(w.ConfigText(), [](const char*) { return nullptr; });
+}
+
+constexpr int kPagamento = 2;
+
+// The disk fills up just as a pagamento's attempt is to go on record: it is not called, new ones are refused,
+// and all of it goes on by itself once there is room.
+void AFullDiskHoldsBackTheCall() {
+  const Config config = OneEndpoint();
+  FaultyFileSystem disk;
+  TestClock clock;
+  Whole node(disk, clock, config, SmallJournal());
+  bool full = false;
+  int appends = 0;
+  disk.plan = [&](std::uint64_t, std::string_view what) {
+    const bool fails = full && what == "append" && ++appends > 1;  // its taking still found room
+    return Step{fails ? Fault::kError : Fault::kNone, ENOSPC};
+  };
+  full = true;
+  node.Post(kPagamento, "p");
+  assert(node.calls.empty() && !node.journal.writable() && node.ledger.held() == 1);
+  node.Post(kPagamento, "later");
+  assert(node.answers.at("later").verdict == Verdict::kRefused);
+  assert(node.answers.at("later").again == std::chrono::seconds(1));
+  node.Pass(std::chrono::seconds(2));
+  assert(node.calls.empty() && node.told.empty());
+  full = false;
+  node.Pass(std::chrono::seconds(4));
+  assert(node.journal.writable() && node.calls.size() == 1 &&
+         node.answers.at("p").verdict == Verdict::kTaken);
+  assert(node.ledger.Find(node.calls[0].number)->may_have_run == std::nullopt);
+  node.Finish(Outcome::kOk);
+  assert(node.ledger.size() == 0);
+  node.Post(kPagamento, "again");
+  assert(node.answers.at("again").verdict == Verdict::kTaken && node.calls.size() == 1);
+}
+
+// It runs out of time meanwhile: its end is told once it is on record, and once.
+void AnEndIsToldOnceItIsOnRecord() {
+  const Config config = OneEndpoint();
+  FaultyFileSystem disk;
+  TestClock clock;
+  auto node = std::make_unique<Whole>(disk, clock, config, SmallJournal());
+  node->Post(kPagamento, "p");
+  assert(node->calls.size() == 1);
+  disk.plan = [](std::uint64_t, std::string_view what) {
+    return Step{what == "append" ? Fault::kError : Fault::kNone, ENOSPC};
+  };
+  node->Finish(Outcome::kReset);  // it may have run: its end is to be told
+  node->Pass(std::chrono::seconds(9));
+  assert(node->told.empty() && node->ledger.held() == 0 && node->ledger.size() == 1);
+  disk.plan = nullptr;
+  node->Pass(std::chrono::seconds(4));
+  assert(node->told.size() == 1);
+  const std::uint64_t number = node->told.front();
+  node->chain.book.Heard(number);
+  assert(node->ledger.size() == 0);
+  node.reset();
+  disk.Restart();
+  node = std::make_unique<Whole>(disk, clock, config, SmallJournal());
+  assert(node->ledger.size() == 0);
+}
+
+// Synced: answer, call and notice each wait for the disk; other classes don't.
+void WhatIsSyncedWaitsForTheDisk() {
+  const Config config = OneEndpoint();
+  JournalSettings settings = SmallJournal();
+  settings.durability_of[kPagamento] = Durability::kSynced;
+  FaultyFileSystem disk;
+  TestClock clock;
+  Whole node(disk, clock, config, settings);
+  node.Post(0, "a");
+  assert(node.answers.contains("a") && node.calls.size() == 1);
+  node.Post(kPagamento, "p");
+  assert(!node.answers.contains("p") && node.calls.size() == 1);
+  node.Pass(settings.group);
+  assert(node.syncs.size() == 1 && !node.answers.contains("p"));
+  node.FinishSyncs();
+  assert(node.answers.at("p").verdict == Verdict::kTaken && node.calls.size() == 2);
+  node.Finish(Outcome::kOk);
+  node.Finish(Outcome::kReset);
+  node.Pass(std::chrono::milliseconds(1));
+  assert(node.told.empty());
+  node.Pass(settings.group);
+  node.FinishSyncs();
+  assert(node.told.size() == 1);
+  // A disk that takes longer than a choice stays fresh: the call is given back and chosen anew, never sent
+  // late.
+  node.Post(kPagamento, "slow");
+  node.Pass(settings.group);
+  clock.now += std::chrono::milliseconds(80);
+  node.FinishSyncs();
+  assert(node.calls.empty() || node.ledger.Find(node.calls[0].number)->attempts == 2);
+  for (int i = 0; i < 4 && node.calls.empty(); ++i) {
+    node.Pass(std::chrono::milliseconds(20));
+    node.FinishSyncs();
+  }
+  assert(node.calls.size() == 1 && node.ledger.Find(node.calls[0].number)->attempts == 2);
+}
+
+}  // namespace
+}  // namespace sagetally
+
+int main() {
+  using namespace sagetally;
+  AFullDiskHoldsBackTheCall();
+  AnEndIsToldOnceItIsOnRecord();
+  WhatIsSyncedWaitsForTheDisk();
+  std::puts("3 passed, 0 failed");
+}
--- /dev/null
+++ b/tests/store/journal_world.h
@@ -0,0 +1,180 @@
+// The real journal and ledger on the disk in memory and a clock of the test's own, beside what must be known.
+#ifndef SAGETALLY_TESTS_STORE_JOURNAL_WORLD_H_
+#define SAGETALLY_TESTS_STORE_JOURNAL_WORLD_H_
+
+#undef NDEBUG
+#include <boost/random/mersenne_twister.hpp>
+#include <boost/random/uniform_int_distribution.hpp>
+#include <cassert>
+#include <cerrno>
+#include <cstdio>
+#include <optional>
+
+#include "store/fs/faulty.h"
+#include "store/journal.h"
+
+namespace sagetally {
+
+using Fault = FaultyFileSystem::Fault;
+using Step = FaultyFileSystem::Step;
+
+struct TestClock : Clock {
+  Time Now() const override { return now; }
+  Moment Stamp() const override { return {now, now, 9}; }
+  Time now{1'700'000'000'000'000};
+};
+
+// What a message is after a restart, whatever became of its last call.
+inline std::string Canonical(const Message& m) {
+  const bool may = m.end != End::kDelivered && (m.may_have_run.has_value() || m.out);
+  return m.request.id + " class " + std::to_string(m.request.message_class) + " body " +
+         std::to_string(m.end == End::kNone ? m.request.body.size() : 0) + " attempts " +
+         std::to_string(m.attempts) + (may ? " may" : "") + " end " +
+         std::to_string(static_cast<int>(m.end)) + (m.notice_owed ? " owed" : "") +
+         (m.kept_owed ? " kept" : "") + " notes " + std::to_string(m.history.size());
+}
+using View = std::map<std::uint64_t, std::string>;
+inline View ViewOf(const Ledger& ledger) {
+  View view;
+  for (const auto& [number, m] : ledger.messages()) {
+    // With its call out an ended message waits; a restart lets it go.
+    const bool goes = m.end != End::kNone && !m.notice_owed && !m.kept_owed && m.request.form == Form::kPlain;
+    if (!goes) view[number] = Canonical(m);
+  }
+  return view;
+}
+
+// One process.
+struct Life : JournalHost {
+  Life(FaultyFileSystem& disk, TestClock& clock, const JournalSettings& settings)
+      : clock(clock), journal(disk, settings, ledger, clock, log, *this) {}
+
+  void TurnAfter(Duration d) override { due = clock.now + d; }
+  void Progress() override { ++progress; }
+  void Sync(std::shared_ptr<File> file, std::function<void(int)> done) override {
+    syncs.emplace_back(std::move(file), std::move(done));
+  }
+  void Fenced() override { fenced = true; }
+
+  void Pass(Duration d) {  // lets time pass, turn by turn
+    const Time until = clock.now + d;
+    while (due <= until) {
+      clock.now = std::max(clock.now, due);
+      due = Time::max();
+      journal.Turn();
+      FinishSyncs();
+    }
+    clock.now = until;
+  }
+  void FinishSyncs() {
+    for (auto& [file, done] : std::exchange(syncs, {})) done(file->Sync());
+  }
+
+  Message* Take(const std::string& id, std::size_t body, int cls = 0) {
+    Message m;
+    m.request.id = id;
+    m.request.key = "key-" + id;
+    m.request.message_class = cls;
+    m.request.body = std::string(body, 'b');
+    m.deadline = clock.now + std::chrono::seconds(10);
+    Message& added = ledger.Add(std::move(m));
+    const Message* one[] = {&added};
+    if (journal.Taken(one)) return &added;
+    ledger.Remove(added.number);
+    return nullptr;
+  }
+  bool TakeBatch(const std::string& id, int count, std::size_t body) {
+    std::vector<const Message*> all;
+    for (int i = 0; i < count; ++i) {
+      Message m;
+      m.request.id = id + "." + std::to_string(i);
+      m.request.form = Form::kEvent;
+      m.request.body = std::string(body, 'e');
+      m.request.attributes = {{"source", "/test"}, {"id", m.request.id}};
+      all.push_back(&ledger.Add(std::move(m)));
+    }
+    if (journal.Taken(all)) return true;
+    for (const Message* m : all) ledger.Remove(m->number);
+    return false;
+  }
+  void Attempt(Message& m) {
+    m.out = true;
+    m.attempts += 1;
+    m.out_since = clock.now;
+    m.out_at = "s-1";
+    journal.Attempted(m);
+  }
+  void Outcome(Message& m, sagetally::Outcome outcome) {
+    m.out = false;
+    if (MayHaveRun(outcome) && !m.may_have_run) m.may_have_run = m.out_since;
+    journal.Outcame(m, outcome);
+  }
+  void End(Message& m, enum End end) {
+    ledger.End(m, end, Duration(0), clock.now);
+    journal.Ended(m);
+    ledger.Settle(m);
+  }
+  void Told(Message& m) {
+    if (m.out) NoteMayHaveRun(m);
+    m.out = false;
+    m.notice_owed = false;
+    journal.Told(m);
+    ledger.Settle(m);
+  }
+
+  TestClock& clock;
+  Logger log{LogOptions{LogFormat::kText, static_cast<LogLevel>(9)}};
+  Ledger ledger;
+  Time due = Time::max();
+  std::vector<std::pair<std::shared_ptr<File>, std::function<void(int)>>> syncs;
+  int progress = 0;
+  bool fenced = false;
+  SegmentJournal journal;
+};
+
+inline JournalSettings SmallJournal() {
+  JournalSettings s;
+  s.folder = "/state/journal";
+  s.legacy = "/state/log";
+  s.node = "n0";
+  s.budget = 160'000;
+  s.segment_bytes = 4'096;
+  s.classes = {"aviso", "pedido", "pagamento"};
+  return s;
+}
+
+// One step of a workload drawn from `random`: messages come, are called, end and are told, some wait for
+// long.
+inline void OneStep(Life& life, boost::random::mt19937_64& random, int& names) {
+  const auto draw = [&](int most) { return boost::random::uniform_int_distribution<int>(0, most)(random); };
+  life.Pass(std::chrono::milliseconds(draw(3)));
+  std::vector<Message*> live, owed;
+  for (const auto& [number, m] : life.ledger.messages()) {
+    if (m.end == End::kNone) live.push_back(life.ledger.Find(number));
+    if (m.notice_owed) owed.push_back(life.ledger.Find(number));
+  }
+  const int what = draw(9);
+  if (live.empty() || (what < 3 && live.size() < 40)) {
+    if (draw(9) == 0) {
+      life.TakeBatch("e" + std::to_string(names++), 3, 100);
+    } else {
+      life.Take("m" + std::to_string(names++), draw(7) == 0 ? 3000 : 150, draw(2));
+    }
+    return;
+  }
+  if (!owed.empty() && what == 3) return life.Told(*owed[draw(static_cast<int>(owed.size()) - 1)]);
+  // The latest ones mostly, so that some old ones stay and must be copied forward.
+  const std::size_t back = static_cast<std::size_t>(draw(draw(5) == 0 ? 39 : 4));
+  Message& m = *live[live.size() - 1 - std::min(back, live.size() - 1)];
+  if (!m.out && m.attempts < 6 && what < 7) return life.Attempt(m);
+  if (m.out && what < 8) return life.Outcome(m, what % 2 == 0 ? Outcome::kFull : Outcome::kReset);
+  if (what == 8 && m.attempts == 0) return life.End(m, End::kFailed);
+  // A delivered one's call has come back; one that failed may end with its call out.
+  const bool delivered = what % 2 != 0;
+  if (delivered) m.out = false;
+  life.End(m, delivered ? End::kDelivered : End::kFailed);
+}
+
+}  // namespace sagetally
+
+#endif  // SAGETALLY_TESTS_STORE_JOURNAL_WORLD_H_
