--- a/tests/node/world.h
+++ b/tests/node/world.h
@@ -234,6 +234,7 @@
     deploy.cloudevents = CloudEventsSettings{{"127.0.0.1", 0}, {}, "/results"};
     if (sink) deploy.cloudevents->sink = Address{"127.0.0.1", sink->port()};
     deploy.kept = kept;
+    deploy.journal = journal;
     dispatcher = std::make_unique<Dispatcher>(loop, log, config, deploy);
   }
   // As SIGKILL leaves it: nothing is said or written any more.
@@ -285,6 +286,7 @@
   std::vector<std::unique_ptr<Ask>> asks;
   std::unique_ptr<Dispatcher> dispatcher;
   std::optional<KeptSettings> kept;
+  JournalFile journal;
   bool spread = false;  // each endpoint is a destination of its own, from 7 on
   int repeat_window_ms = 10000;
   double rate = 50;  // calls a second that the list tells of the destination
