--- a/tests/node/world.h
+++ b/tests/node/world.h
@@ -18,6 +18,7 @@
 #include <filesystem>
 #include <map>
 #include <memory>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -217,7 +218,7 @@
   }
   std::string ConfigText() const {
     return R"({"name":"n0","listen":"127.0.0.1:0","discovery":")" + At(agent.port()) + R"(","state":")" +
-           folder.path + R"(","seed":"1f","limits":{"disk_mb":)" + std::to_string(disk_mb) +
+           folder.path + R"(","seed":"1f","limits":{"disk_mb":)" + (std::ostringstream() << disk_mb).str() +
            R"(,"sockets":)" + std::to_string(sockets) + R"(},"known":)" + List() +
            R"(,"settings":{"flavors":["k"],"zones":["z"],"grades":[)" +
            R"({"name":"aviso","slo":2000,"deadline":24000,"idempotency":"pure","credit":1},)" +
