Make compaction end after one round, and segments fit their budget

Cause: with segments of over an eighth of the budget, what may live (45% of it) can be more than ordinary records may fill, and making room copied the same bytes over and over, inside the loop. Found by a property run that hung. Change: a segment is an eighth of the budget at most, what lives is at most 60% of what ordinary records may fill, and making room goes round the log once.

--- a/src/store/journal.cpp
+++ b/src/store/journal.cpp
@@ -29,9 +29,11 @@
 std::uint64_t Blocks(std::uint64_t bytes) { return (bytes + kBlock - 1) / kBlock * kBlock; }
 std::uint64_t RoundUp(std::uint64_t bytes, std::uint64_t step) { return (bytes + step - 1) / step * step; }
 
+// An eighth of the budget at most, so that two segments' room for copies leaves enough for what lives.
 std::uint64_t SegmentBytes(const JournalSettings& s) {
-  if (s.segment_bytes != 0) return s.segment_bytes;
-  return std::clamp(s.budget / 24, kLeastSegment, kMostSegmentBytes);
+  const std::uint64_t wanted =
+      s.segment_bytes != 0 ? s.segment_bytes : std::clamp(s.budget / 24, kLeastSegment, kMostSegmentBytes);
+  return std::min(wanted, s.budget / 8);
 }
 
 }  // namespace
@@ -276,7 +278,8 @@
     states.push_back(StateRecord(*m, 1));
   }
   // All that lives must fit well under the budget, or compaction would copy the same bytes over and over.
-  const std::uint64_t limit = settings_.budget / 100 * (settings_.reserve ? 30 : 45);
+  const std::uint64_t limit =
+      std::min(settings_.budget / 100 * (settings_.reserve ? 30 : 45), SoftLimit() / 100 * 60);
   if (live_bytes_ + live > limit) return false;
   if (settings_.reserve && !GrowReserve(to_come_ + to_come)) return Failed(ENOSPC, false);
   const std::string record = states.size() == 1 ? std::move(states.front()) : BatchRecord(states);
@@ -541,8 +544,10 @@
 bool SegmentJournal::MakeRoom(std::uint64_t size, bool copy) {
   const std::uint64_t room = Blocks(size) + kBlock;
   if (copy) return disk_bytes() + room <= settings_.budget;
+  // Once round at most: a second time it would copy the same bytes again.
+  const std::uint64_t enough = counters_.copied + segment_blocks_;
   while (segment_blocks_ + room > SoftLimit()) {
-    if (!CompactSome(kStep)) return segment_blocks_ + room <= SoftLimit();
+    if (counters_.copied > enough || !CompactSome(kStep)) return segment_blocks_ + room <= SoftLimit();
   }
   return true;
 }
--- a/tests/store/journal_test.cpp
+++ b/tests/store/journal_test.cpp
@@ -400,6 +400,26 @@
   assert(last.wall == begun + std::chrono::seconds(3) && last.steady == last.wall && last.boot == 9);
 }
 
+// A segment size that leaves little of the budget: what lives still fits, and compaction ends.
+void SegmentsTooLargeForTheBudgetAreMadeSmaller() {
+  for (const std::uint64_t segment : {6'000, 14'000, 30'000, 90'000}) {
+    JournalSettings settings = SmallJournal();
+    settings.budget = 50'000;
+    settings.segment_bytes = segment;
+    FaultyFileSystem disk;
+    TestClock clock;
+    Life life(disk, clock, settings);
+    boost::random::mt19937_64 random(segment);
+    int names = 0, refused = 0;
+    for (int i = 0; i < 3000; ++i) {
+      refused += life.Take("full" + std::to_string(i), 400) == nullptr ? 1 : 0;
+      OneStep(life, random, names);
+      assert(life.journal.writable() && disk.Used() <= settings.budget);
+    }
+    assert(refused > 0 && life.journal.counters().drops > 10);
+  }
+}
+
 // A call that was cut off by the end of a process may have run, whatever came of a later one.
 void ACallThatWasCutOffStaysOneThatMayHaveRun() {
   const JournalSettings settings = SmallJournal();
@@ -462,7 +482,8 @@
   ClassesAreKnownByTheirNames();
   WhatARestoredSnapshotHoldsMayHaveRun();
   TheClockGoesOnOverARestart();
+  SegmentsTooLargeForTheBudgetAreMadeSmaller();
   ACallThatWasCutOffStaysOneThatMayHaveRun();
   ABodyCannotForgeARecord();
-  std::puts("15 passed, 0 failed");
+  std::puts("16 passed, 0 failed");
 }
