--- a/bench/journal_bench.cpp
+++ b/bench/journal_bench.cpp
@@ -2,7 +2,6 @@
 //   journal_bench append COUNT FOLDER      records a second against raw writes, syncs and SQLite
 //   journal_bench pause LIVE SECONDS FOLDER   longest step at 120 messages a second beside LIVE held ones
 //   journal_bench recover LIVE FOLDER      time and memory of a start
-//   journal_bench take written|class|synced SECONDS   the 202 through the whole dispatcher
 #include <sqlite3.h>
 #include <sys/resource.h>
 
@@ -197,33 +196,6 @@
       mb / seconds, static_cast<double>(PeakKb()) / 1000, static_cast<double>(before) / 1000);
 }
 
-void Taking(const std::string& how, double seconds) {
-  World w(1, 24, 150);
-  w.rate = 1000;
-  w.journal.synced = how == "synced";
-  if (how == "class") w.journal.synced_classes = {"pagamento"};
-  w.Start();
-  lab::LatencyHistogram times;
-  const auto begun = Steady::now();
-  const auto all = static_cast<int>(seconds * 120);
-  std::vector<std::pair<Ask*, Steady::time_point>> open;
-  for (int i = 0; i < all;) {
-    const auto due = begun + std::chrono::microseconds(static_cast<std::int64_t>(i * 1e6 / 120));
-    Until(w.loop, [&] {
-      std::erase_if(open, [&](const auto& one) {
-        if (one.first->code < 0) return false;
-        times.Add(std::chrono::duration<double, std::micro>(Steady::now() - one.second).count());
-        return true;
-      });
-      return Steady::now() >= due;
-    });
-    open.emplace_back(&w.Post(i % 3 == 0 ? "pagamento" : "aviso", "t" + std::to_string(i)), due);
-    ++i;
-  }
-  std::printf("take, %s: %ld answers, p50 %.3f ms, p99 %.3f ms, max %.3f ms\n", how.c_str(), times.count(),
-              times.Quantile(0.5) / 1000, times.Quantile(0.99) / 1000, times.max() / 1000);
-}
-
 }  // namespace
 }  // namespace sagetally
 
@@ -236,8 +208,6 @@
     Pause(std::strtoull(argv[2], nullptr, 10), std::atof(argv[3]), argv[4]);
   } else if (what == "recover" && argc == 4) {
     Recover(std::strtoull(argv[2], nullptr, 10), argv[3]);
-  } else if (what == "take" && argc == 4) {
-    Taking(argv[2], std::atof(argv[3]));
   } else {
     std::cerr << "journal_bench append COUNT FOLDER | pause LIVE SECONDS FOLDER | recover LIVE FOLDER | take "
                  "HOW SECONDS\n";
--- a/bench/kept_bench.cpp
+++ b/bench/kept_bench.cpp
@@ -1,5 +1,5 @@
 // Measures kept messages: what they cost live traffic, and how the store does with a million of them.
-//   kept_bench take off|on|stalled SECONDS [RATE]    live messages (400 a second): time to the 202, calls
+//   kept_bench take off|on|stalled|synced SECONDS [RATE]    live messages (400 a second): time to the 202, calls
 //   kept_bench store COUNT                    fills a store, then lists with filters; memory by phase
 //   kept_bench resend RATE|0 SECONDS          live traffic beside resends of 20,000 kept messages
 #include <sqlite3.h>
@@ -123,7 +123,8 @@
 
 void Take(const std::string& mode, double seconds, double rate) {
   BenchWorld w;
-  if (mode != "off") w.Keep();
+  if (mode == "on" || mode == "stalled") w.Keep();
+  w.journal.synced = mode == "synced";
   w.Start();
   RunFor(w.loop, 300ms);
   sqlite3* lock = nullptr;
@@ -252,7 +253,7 @@
   } else if (what == "resend" && argc == 4) {
     sagetally::Resend(std::atof(argv[2]), std::atof(argv[3]));
   } else {
-    std::cerr << "usage: kept_bench take off|on|stalled SECONDS [RATE] | store COUNT | resend RATE SECONDS\n";
+    std::cerr << "usage: kept_bench take off|on|stalled|synced SECONDS [RATE] | store COUNT | resend RATE SECONDS\n";
     return 2;
   }
 }
