--- a/src/brain/decide.cpp
+++ b/src/brain/decide.cpp
@@ -60,7 +60,8 @@
 constexpr double kBlame = 4, kBreakMemory = 0.99, kUseKnown = 40;  // as if so many in use had failed once
 // Idle connections are kept for a share of connection_idle, by kind: cut to a quarter by a connection that
 // fails where all seemed well, so that about one in thirty fails while the destinations' tables are full.
-constexpr double kKeepCut = 0.25, kKeepGrows = 1.05;
+// At first for as long as leaves a table no more of them, from all senders, than so many would keep for ever.
+constexpr double kKeepCut = 0.25, kKeepGrows = 1.05, kKeepers = 4;
 constexpr double kQueueing = 0.1;  // price of waiting behind one more call at an endpoint
 constexpr int kQueueCalls = 1;     // while slots bind: by so many expected times one more makes a call longer
 constexpr double kShedMargin = 0.04;                 // of most_held is kept free
@@ -168,6 +169,7 @@
   std::vector<Message*> members = {};
   int overtaken = 0;  // by calls sent later to the same endpoint
   bool trial = false, counted = false, cancelled = false;
+  bool unplaced = false;  // refused without a wait on a new connection: perhaps the table was full
 };
 
 void Require(bool fine, const char* what) {
@@ -189,7 +191,8 @@
       Require(c.worth >= 0, "worth must not be negative");
     }
     for (const KindSettings& k : s_.kinds) Require(k.batch_max > 0, "batch_max must be positive");
-    keep_idle_.resize(s_.kinds.size(), 1.0);
+    tells_wait_.resize(s_.kinds.size());
+    keep_idle_.resize(s_.kinds.size(), std::min(1.0, kKeepers / s_.senders));
     usage_.resize(s_.tenants.size());
   }
 
@@ -240,10 +243,8 @@
       const auto [at, is_new] = endpoints_.try_emplace(entry.endpoint);
       Endpoint& endpoint = at->second;
       if (is_new) {
-        endpoint.id = entry.endpoint;
-        endpoint.destination = entry.destination;
-        endpoint.zone = entry.zone;
-        endpoint.kind = entry.kind;
+        std::tie(endpoint.id, endpoint.destination, endpoint.zone, endpoint.kind) =
+            std::tie(entry.endpoint, entry.destination, entry.zone, entry.kind);
         const bool apart = s_.kinds[entry.kind].routes_apart;
         endpoint.lane = &lanes_[{entry.destination, apart ? entry.endpoint : std::string()}];
         At(entry.destination).endpoints.push_back(&endpoint);
@@ -264,11 +265,8 @@
     const auto [at, is_new] = messages_.try_emplace(e.id);
     if (!is_new) return;
     Message& m = at->second;
-    m.id = e.id;
+    std::tie(m.id, m.destination, m.cls, m.tenant) = std::tie(e.id, e.destination, e.message_class, e.tenant);
     m.number = next_number_++;
-    m.destination = e.destination;
-    m.cls = e.message_class;
-    m.tenant = e.tenant;
     if (static_cast<std::size_t>(e.tenant) < usage_.size()) usage_[e.tenant].Add(now_);
     m.deadline = now_ + e.time_left;
     // A message handed over keeps its age, so queues are in order of deadlines. One with less left than its
@@ -317,6 +315,7 @@
     // Every outcome is heard for its wait: the members of a call may be told waits of different length.
     endpoint.lane->wait_until = std::max(endpoint.lane->wait_until, now_ + e.told_wait);
     std::erase(call->second.members, &m);
+    call->second.unplaced |= call->second.idle == Duration(0) && e.told_wait == Duration(0);
     if (call->second.members.empty()) FreeCall(call, e.outcome);
     const bool may_run = e.outcome == Outcome::kError || e.outcome == Outcome::kTimeout ||
                          e.outcome == Outcome::kReset || e.outcome == Outcome::kCancelled;
@@ -411,10 +410,9 @@
 
   void GiveUp(Message& m) {  // at once: an answer held back helps nobody
     Duration wait(0);
-    for (Endpoint* p : At(m.destination).endpoints) {
+    for (Endpoint* p : At(m.destination).endpoints)
       if (p->usable && s_.may_tell_wait)
-        wait = std::max(wait, std::max(p->lane->wait_until, p->retry_at) - now_);
-    }
+        wait = std::max({wait, p->lane->wait_until - now_, p->retry_at - now_});
     wait = std::min(wait, s_.most_client_wait);
     actions_->push_back(Refusable(m) ? Action(Refuse{m.id, wait}) : Action(Fail{m.id}));
     Forget(m);
@@ -511,14 +509,10 @@
       double price = kQueueing * p->out + Doubt(*p);
       if (!HasConnection(*p)) price += s_.handshake_price;
       if (p->zone != s_.zone) price += s_.cross_zone_price;
-      if (s_.kinds[p->kind].routes_apart && p->zone < static_cast<int>(s_.zone_fee.size())) {
-        price += s_.zone_fee[p->zone];
-      }
+      const bool has_fee = s_.kinds[p->kind].routes_apart && p->zone < std::ssize(s_.zone_fee);
+      if (has_fee) price += s_.zone_fee[p->zone];
       if (m.attempts > 0 && m.last == p) price += kQueueing;
-      if (best == nullptr || price < best_price) {
-        best = p;
-        best_price = price;
-      }
+      if (best == nullptr || price < best_price) std::tie(best, best_price) = std::pair(p, price);
     }
     return best;
   }
@@ -608,7 +602,8 @@
     p.out_since.erase(p.out_since.find(at->second.sent));
     if (at->second.trial) p.trial = false;
     // Only an answer leaves a connection that can serve again.
-    if (outcome == Outcome::kOk || outcome == Outcome::kError || outcome == Outcome::kFull) {
+    if (outcome == Outcome::kOk || outcome == Outcome::kError ||
+        (outcome == Outcome::kFull && !at->second.unplaced)) {
       p.idle_since.push_back(now_);
       idle_[p.id] = &p;
     }
@@ -775,10 +770,7 @@
             Message* m = (*queues)[c].rbegin()->second;
             const double worth = Worth(*m) * (m->relegated ? s_.classes[c].late_share : 1.0) /
                                  (1 + ahead / Seconds(s_.classes[c].aim));
-            if (least == nullptr || worth < least_worth) {
-              least = m;
-              least_worth = worth;
-            }
+            if (least == nullptr || worth < least_worth) std::tie(least, least_worth) = std::pair(m, worth);
           }
         }
       }
@@ -929,9 +921,15 @@
     }
     if (outcome == Outcome::kFull) {
       lane.wait_until = std::max(lane.wait_until, now_ + told_wait);
-      CutPace(lane, sent);
+      // A full table tells nothing of the destination's pace: as with a failed connection one more call does.
+      // Where a kind has a limit most of its refusals tell a wait.
+      tells_wait_[p.kind] += told_wait > Duration(0) ? 1 : -1;
+      const bool unplaced = idle == Duration(0) && tells_wait_[p.kind] < 0 && !p.outage;
+      if (unplaced) keep_idle_[p.kind] *= kKeepCut;
+      const bool confirm = unplaced && ++lane.unconnected == 1;
+      if (!confirm) CutPace(lane, sent);
       if (lane.refusals++ == 0) lane.refused_since = now_;
-      GoCold(p);
+      GoCold(p, confirm);
       // Shut, not merely above its limit: a wait or a row of refusals as long as an outage matters.
       if (told_wait > s_.tip_after || (lane.refusals >= 3 && now_ - lane.refused_since > s_.tip_after)) {
         MoveDoubt(p, std::max(Doubt(p), kOut + 0.1), 1);
@@ -988,7 +986,8 @@
       lane.credit = sibling ? 1 : std::uniform_real_distribution<double>(0, 1)(random_);
       if (sibling) return;
     }
-    if (confirm) lane.credit = 1, lane.credit_at = now_ + Expected(At(p.destination), false);
+    const Duration soon = std::max<Duration>(Expected(At(p.destination), false), kLeastOverdue / 2);
+    if (confirm) lane.credit = 1, lane.credit_at = now_ + Jitter(soon, 1.0);
   }
 
   bool BudgetAllows(Endpoint& p) {
@@ -1039,8 +1038,8 @@
     actions_->push_back(Wake{wake_ - now_});
   }
 
-  Duration Jitter(Duration d) {  // senders that failed together must not come back together
-    return FromSeconds(Seconds(d) * std::uniform_real_distribution<double>(0.8, 1.2)(random_));
+  Duration Jitter(Duration d, double by = 0.2) {  // senders that failed together must not come back together
+    return FromSeconds(Seconds(d) * std::uniform_real_distribution<double>(1 - by, 1 + by)(random_));
   }
   static double Seconds(Duration d) { return static_cast<double>(d.count()) / 1e6; }
   static Duration FromSeconds(double s) { return Duration(std::llround(s * 1e6)); }
@@ -1065,6 +1064,7 @@
   double broke_[2] = {}, tried_[2] = {};   // calls of late on connections in use, and on rested ones
   std::vector<Rate> usage_;                // by tenant, messages taken
   Duration turn_late_{0};                  // by which wakes came late, at worst and of late
+  std::vector<int> tells_wait_;            // by kind, refusals that told a wait less those that did not
   std::vector<double> keep_idle_;          // by kind, share of connection_idle
   std::map<std::string, Endpoint*> idle_;  // endpoints that may have idle connections
   int held_ = 0, relegated_ = 0, suspect_out_ = 0;
--- a/src/net/endpoint_pool.cpp
+++ b/src/net/endpoint_pool.cpp
@@ -234,7 +234,8 @@
   }
   void Answered() {
     const CallResult result = ReadAnswer(parser_->get());
-    Over(result, parser_->keep_alive(), false);
+    placed_ = placed_ || parser_->get().result_int() != 503;
+    Over(result, parser_->keep_alive() && placed_, false);
   }
 
   static void Readable(bufferevent*, void* self) { static_cast<Connection*>(self)->Read(); }
@@ -266,6 +267,8 @@
   std::uint64_t number_ = 0;
   bool busy_ = false, connected_ = false, counted_ = false;
   bool says_ok_ = false;  // the first line of the answer that is coming
+  // It may have no place in the endpoint's table, and be refused for ever, until it brought another answer.
+  bool placed_ = false;
   int interim_ = 0;
   std::chrono::steady_clock::time_point rested_;
 };
