--- a/src/brain/decide.cpp
+++ b/src/brain/decide.cpp
@@ -37,7 +37,7 @@
 constexpr double kLandAtLeast = 0.8;  // of an even split of the told rate
 // One to all senders come back after a refusal: the first cut takes the root of their number, further ones go
 // down to an even split. A floor for each swamps a limit shared by hundreds.
-constexpr double kTellsWait = 0.1;   // share of a kind's refusals, under what kinds with limits tell
+constexpr double kNoPlace = 0.65;    // of the time of a refusal that told a wait, or of an answer
 constexpr double kUntoldRate = 2.0;  // calls a second that a limit is taken for where none is told
 // A success adds a share of the rate by the time since the last; doubling balances at half refused.
 constexpr double kCreep = 0.03, kCreepPerSecond = 0.1, kMostCreep = 0.25;
@@ -192,7 +192,6 @@
       Require(c.worth >= 0, "worth must not be negative");
     }
     for (const KindSettings& k : s_.kinds) Require(k.batch_max > 0, "batch_max must be positive");
-    tells_wait_.resize(s_.kinds.size());
     keep_idle_.resize(s_.kinds.size(), std::min(1.0, kKeepers / s_.senders));
     usage_.resize(s_.tenants.size());
   }
@@ -921,10 +920,11 @@
     if (outcome == Outcome::kFull) {
       lane.wait_until = std::max(lane.wait_until, now_ + told_wait);
       // A full table tells nothing of the destination's pace: as with a failed connection one more call does.
-      // It tells no wait, and where limits are met too many refusals do; few senders can't fill one.
-      tells_wait_[p.kind] += ((told_wait > Duration(0) ? 1 : 0) - tells_wait_[p.kind]) / kMemory;
-      const bool tells = told_wait > Duration(0) || tells_wait_[p.kind] > kTellsWait;
-      const bool unplaced = idle == Duration(0) && !tells && keep_idle_[p.kind] < 1 && !p.outage;
+      // It tells no wait, and refuses before the handshake: sooner than a limit. Few senders can't fill one.
+      if (idle == Duration(0) && told_wait > Duration(0)) told_.Add(static_cast<double>(took.count()));
+      const double usual = told_.n > 0 ? told_.mean : pool_.mean;
+      const bool early = idle == Duration(0) && static_cast<double>(took.count()) < kNoPlace * usual;
+      const bool unplaced = early && told_wait == Duration(0) && keep_idle_[p.kind] < 1 && !p.outage;
       if (unplaced) keep_idle_[p.kind] *= kKeepCut;
       const bool confirm = unplaced && ++lane.unconnected == 1;
       if (!confirm) CutPace(lane, sent);
@@ -1058,13 +1058,12 @@
   std::map<std::string, KeyLine> keys_;
   std::multimap<Time, std::string> resting_;  // keys of which nothing is held, until they may be forgotten
   std::map<std::uint64_t, Call> calls_;
-  Latency pool_;
+  Latency pool_, told_;  // of all destinations: answers; refusals that told a wait, on new connections
   std::uint64_t next_number_ = 0, next_call_ = 0;
   std::optional<std::pair<Duration, Time>> idle_trust_;  // idle age trusted so far, and when that was learnt
   double broke_[2] = {}, tried_[2] = {};   // calls of late on connections in use, and on rested ones
   std::vector<Rate> usage_;                // by tenant, messages taken
   Duration turn_late_{0};                  // by which wakes came late, at worst and of late
-  std::vector<double> tells_wait_;         // by kind, share of the refusals of late that told a wait
   std::vector<double> keep_idle_;          // by kind, share of connection_idle
   std::map<std::string, Endpoint*> idle_;  // endpoints that may have idle connections
   int held_ = 0, relegated_ = 0, suspect_out_ = 0;
