--- a/src/app/handover_node.cpp
+++ b/src/app/handover_node.cpp
@@ -212,7 +212,7 @@
       [this](const Packet& packet) {
         Reader r(packet.bytes);
         if (packet.kind == 'x') heard_.cancel(r.Number<std::uint64_t>());
-        if (packet.kind == 'u') heard_.recall(r.Number<std::uint64_t>());
+        if (packet.kind == 'w') heard_.recall(r.Number<std::uint64_t>());
       },
       [] {});
   heard_.let_go();
--- a/src/app/handover_node.h
+++ b/src/app/handover_node.h
@@ -40,7 +40,7 @@
   void Follow(Loop& loop, std::set<std::uint64_t> calls, std::function<void(const CallResult&)> back);
   // False if it has no such call.
   bool Cancel(std::uint64_t number) { return Say('x', number); }
-  bool Recall(std::uint64_t number) { return Say('u', number); }
+  bool Recall(std::uint64_t number) { return Say('w', number); }
   bool owes() const { return !calls_.empty(); }
 
   HandoverState state;
