--- a/src/brain/decide.cpp
+++ b/src/brain/decide.cpp
@@ -37,7 +37,6 @@
 constexpr double kLandAtLeast = 0.8;  // of an even split of the told rate
 // One to all senders come back after a refusal: the first cut takes the root of their number, further ones go
 // down to an even split. A floor for each swamps a limit shared by hundreds.
-constexpr double kNoPlace = 0.65;    // of the time of a refusal that told a wait, or of an answer
 constexpr double kUntoldRate = 2.0;  // calls a second that a limit is taken for where none is told
 // A success adds a share of the rate by the time since the last; doubling balances at half refused.
 constexpr double kCreep = 0.03, kCreepPerSecond = 0.1, kMostCreep = 0.25;
@@ -63,6 +62,7 @@
 // fails where all seemed well, so that about one in thirty fails while the destinations' tables are full.
 // At first for as long as leaves a table no more of them, from all senders, than so many would keep for ever.
 constexpr double kKeepCut = 0.25, kKeepGrows = 1.05, kKeepers = 4;
+constexpr double kNoPlace = 0.65;  // of the time of a refusal that told a wait, or of an answer
 constexpr double kQueueing = 0.1;  // price of waiting behind one more call at an endpoint
 constexpr int kQueueCalls = 1;     // while slots bind: by so many expected times one more makes a call longer
 constexpr double kShedMargin = 0.04;                 // of most_held is kept free
@@ -415,9 +415,10 @@
   void GiveUp(Message& m) {  // at once: an answer held back helps nobody
     Dequeue(m);
     Duration wait(0);
-    for (Endpoint* p : At(m.destination).endpoints)
+    for (Endpoint* p : At(m.destination).endpoints) {
       if (p->usable && s_.may_tell_wait)
         wait = std::max({wait, p->lane->wait_until - now_, p->retry_at - now_});
+    }
     wait = std::min(wait, s_.most_client_wait);
     actions_->push_back(Refusable(m) ? Action(Refuse{m.id, wait}) : Action(Fail{m.id}));
     Forget(m);
