Tests: two limits stand as before, no assertion that can't fail, one pool for two cases

The shut destination is tried ten times again, and senders refused together need no told wait: since a full table is told by how soon it refuses, neither is touched. The fleet's test asserted nothing of new connections with 300 senders; counters that nobody read are gone.

--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -416,7 +416,7 @@
     }
   }
   std::sort(reached.begin(), reached.end());
-  ASSERT_GE(reached.size(), 8u);
+  ASSERT_GE(reached.size(), 10u);
   for (std::size_t n = 15; n < reached.size(); ++n) EXPECT_GE(reached[n] - reached[n - 15], 3s) << n;
 }
 
@@ -1029,7 +1029,7 @@
     Node node(s, static_cast<std::uint64_t>(i + 1));
     node.List(0s, {At("e", 0, 1, 5)});
     node.Take(0s, "m");
-    node.End(10ms, "m", Outcome::kFull, 10ms, 1ms);
+    node.End(10ms, "m", Outcome::kFull);
     for (Time t = 20ms; t < 15s; t += 10ms) {
       node.Step(t);
       if (node.Ids<Send>().empty()) continue;
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -25,7 +25,7 @@
 
 struct Account {
   std::array<int, 3> taken{}, delivered{};  // by class
-  int calls = 0, no_place = 0, over_limit = 0, opened = 0, while_down = 0, most_open = 0;
+  int calls = 0, no_place = 0, opened = 0, while_down = 0;
   double Share(int c) const { return static_cast<double>(delivered[c]) / taken[c]; }
 };
 
@@ -143,7 +143,6 @@
       account_.opened += fresh ? 1 : 0;
       open_ += fresh ? 1 : 0;
       member.idle -= fresh ? 0 : 1;
-      account_.most_open = std::max(account_.most_open, open_);
       e.outcome = OverLimit(now) ? Outcome::kFull : Outcome::kOk;
       e.told_wait = e.outcome == Outcome::kFull && Chance(0.4) ? 500ms : 0ms;
       e.took = fresh ? 45ms : 30ms;
@@ -157,9 +156,7 @@
     if (shape_.limit == 0) return false;
     while (!reached_.empty() && reached_.front() + 500ms <= now) reached_.pop_front();
     reached_.push_back(now);
-    if (static_cast<int>(reached_.size()) <= shape_.limit) return false;
-    account_.over_limit += 1;
-    return true;
+    return static_cast<int>(reached_.size()) > shape_.limit;
   }
 
   void Arrive(const Due& due) {
@@ -190,8 +187,9 @@
       const Account a = Fleet({.senders = senders}, seed).Run(40s);
       for (int c = 0; c < 3; ++c) EXPECT_GE(a.Share(c), 0.95) << senders << " senders, class " << c;
       EXPECT_LE(a.no_place, a.calls / 20) << senders << " senders";
-      // A few keep theirs; hundreds can't.
-      EXPECT_LE(a.opened, senders == 3 ? 40 : 2 * a.calls);
+      if (senders == 3) {
+        EXPECT_LE(a.opened, 40);  // a few keep theirs
+      }
     }
   }
 }
--- a/tests/node/endpoints_test.cpp
+++ b/tests/node/endpoints_test.cpp
@@ -165,6 +165,23 @@
   assert(pool.endpoints() == 0);
 }
 
+// A pool with one endpoint, without a dispatcher round it.
+struct RawPool {
+  RawPool() {
+    EndpointNews news;
+    news.entry.endpoint = "s";
+    news.address = At(raw.port);
+    pool.Learn(news);
+    request.id = "a";
+  }
+  void Call(std::uint64_t number) { pool.Call({number, &request, "s", 5s}); }
+  Loop loop;
+  std::map<std::uint64_t, Outcome> back;
+  EndpointPool pool{loop, {1s, 15s, 8, 8}, [this](const CallResult& r) { back[r.number] = r.outcome; }};
+  RawEndpoint raw{loop};
+  Request request;
+};
+
 // A connection that only ever brought 503 may stand outside of the endpoint's table and is refused for ever.
 void AConnectionThatFoundNoPlaceIsNotUsedAgain() {
   const char kShut[] = "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n";
@@ -172,53 +189,35 @@
   const std::tuple<const char*, const char*, int> table[] = {
       {kShut, kGood, 1}, {kOver, kGood, 0}, {kGood, kShut, 0}, {kOver, kShut, 0}, {kShut, kShut, 2}};
   for (const auto& [first, second, closed] : table) {
-    Loop loop;
-    std::uint64_t back = 0;
-    EndpointPool pool(loop, {1s, 15s, 8, 8}, [&](const CallResult& r) { back = r.number; });
-    RawEndpoint raw(loop);
-    raw.script = {first, second, kGood};
-    EndpointNews news;
-    news.entry.endpoint = "s";
-    news.address = At(raw.port);
-    pool.Learn(news);
-    Request request;
-    request.id = "a";
+    RawPool w;
+    w.raw.script = {first, second, kGood};
     for (std::uint64_t i = 1; i <= 3; ++i) {
-      pool.Call({i, &request, "s", 5s});
-      Until(loop, [&] { return back == i; });
+      w.Call(i);
+      Until(w.loop, [&] { return w.back.contains(i); });
     }
-    Until(loop, [&, n = closed] { return raw.closed == n; });
-    assert((raw.calls[0].second != raw.calls[1].second) == (closed > 0));
-    assert((raw.calls[1].second != raw.calls[2].second) == (closed > 1));
+    Until(w.loop, [&, n = closed] { return w.raw.closed == n; });
+    assert((w.raw.calls[0].second != w.raw.calls[1].second) == (closed > 0));
+    assert((w.raw.calls[1].second != w.raw.calls[2].second) == (closed > 1));
   }
 }
 
-// A call that is still connecting, or only partly written, leaves no trace once it is recalled; one that was
-// written ends by its answer.
+// A call that is still connecting leaves no trace once it is recalled; one that was written ends by its
+// answer.
 void ARecalledCallIsNotWrittenAnyMore() {
-  Loop loop;
-  std::map<std::uint64_t, Outcome> back;
-  EndpointPool pool(loop, {1s, 15s, 8, 8}, [&](const CallResult& r) { back[r.number] = r.outcome; });
-  RawEndpoint raw(loop);
-  raw.script = {kGood};
-  raw.hold = true;
-  EndpointNews news;
-  news.entry.endpoint = "s";
-  news.address = At(raw.port);
-  pool.Learn(news);
-  Request request;
-  request.id = "a";
-  pool.Call({1, &request, "s", 5s});
-  pool.Recall(1);  // connecting
-  pool.Recall(7);  // not there
-  Until(loop, [&] { return back.contains(1); });
-  assert(back[1] == Outcome::kMoot && raw.calls.empty());
-  pool.Call({2, &request, "s", 5s});
-  Until(loop, [&] { return raw.calls.size() == 1; });
-  pool.Recall(2);
-  raw.Answer(0);
-  Until(loop, [&] { return back.contains(2); });
-  assert(back[2] == Outcome::kOk && raw.calls.size() == 1);
+  RawPool w;
+  w.raw.script = {kGood};
+  w.raw.hold = true;
+  w.Call(1);
+  w.pool.Recall(1);  // connecting
+  w.pool.Recall(7);  // not there
+  Until(w.loop, [&] { return w.back.contains(1); });
+  assert(w.back[1] == Outcome::kMoot && w.raw.calls.empty());
+  w.Call(2);
+  Until(w.loop, [&] { return w.raw.calls.size() == 1; });
+  w.pool.Recall(2);
+  w.raw.Answer(0);
+  Until(w.loop, [&] { return w.back.contains(2); });
+  assert(w.back[2] == Outcome::kOk && w.raw.calls.size() == 1);
 }
 
 // Guards the slots against answers that stop short: delivered is delivered, and the call soon gives way.
--- a/tests/node/fleet_test.cpp
+++ b/tests/node/fleet_test.cpp
@@ -1,5 +1,5 @@
-// A cut-down fleet on real sockets: a dozen dispatchers that are told of a hundred, and one endpoint whose
-// table holds four connections, idle ones counted.
+// A cut-down fleet on real sockets: a dozen dispatchers in one process that are told of a hundred, and one
+// endpoint whose table holds four connections, idle ones counted.
 #include "world.h"
 
 namespace sagetally {
@@ -13,7 +13,6 @@
   }
   std::uint16_t port = 0;
   std::map<std::string, int> delivered;
-  int refused = 0;
 
  private:
   using Buffers = std::unique_ptr<bufferevent, Free<bufferevent_free>>;
@@ -33,7 +32,6 @@
     const std::size_t id = text.find("X-Request-Id: ") + 14;
     const bool placed = t->placed_.contains(b);
     if (placed) t->delivered[text.substr(id, text.find('\r', id) - id)] += 1;
-    t->refused += placed ? 0 : 1;
     if (!placed) return Answer(b, "503 Full");  // before the handshake, so to speak
     t->late_.push_back(std::make_unique<Timer>(t->loop_, [t, b] {
       if (t->placed_.contains(b)) Answer(b, "200 OK");
