--- a/src/app/dispatcher.cpp
+++ b/src/app/dispatcher.cpp
@@ -99,7 +99,7 @@
   if (!deploy.eureka) {
     watch_ = std::make_unique<Watch>(
         loop_, config_.discovery, config_.site,
-        predecessor_ ? predecessor_->state.revision : config_.known.revision,
+        predecessor_ ? predecessor_->state.revision : config_.known.revision, config_.seed,
         [this](const ListNews& news) { chain_.route.Listed(news); }, log_);
   }
   const Shares shares = Share(config_, deploy.cloudevents.has_value(), deploy.role != Role::kPlanner);
--- a/src/net/watch.cpp
+++ b/src/net/watch.cpp
@@ -10,18 +10,22 @@
 constexpr Duration kSilent = std::chrono::milliseconds(4500);   // a line comes every 2 s
 constexpr Duration kUnheard = std::chrono::milliseconds(1500);  // the agent answers at once
 constexpr Duration kAgain = std::chrono::milliseconds(200);
+// Where lists are asked for, discovery itself serves all senders: together they come again no sooner than so
+// many of them would at kAgain.
+constexpr int kFewSenders = 4;
 constexpr std::size_t kLongestLine = 4 * 1024 * 1024;
 
 }  // namespace
 
 Watch::Watch(Loop& loop, const Address& discovery, const SiteSettings& site, std::int64_t known,
-             std::function<void(const ListNews&)> news, Logger& log)
+             std::uint64_t seed, std::function<void(const ListNews&)> news, Logger& log)
     : loop_(loop),
       discovery_(discovery),
       site_(site),
       revision_(known),
       news_(std::move(news)),
       log_(log),
+      back_off_(std::max(kAgain, kAgain * site.module.senders / kFewSenders), site.module.ask_every, seed),
       silent_(loop, [this] { Lost("silent"); }),
       again_(loop, [this] { Ask(); }) {
   Ask();
@@ -37,7 +41,8 @@
   evhttp_request* request = evhttp_request_new(Done, this);
   evhttp_request_set_chunked_cb(request, Chunk);
   evhttp_add_header(evhttp_request_get_output_headers(request), "Host", discovery_.host.c_str());
-  silent_.After(kUnheard);
+  // Guards against giving up what was about to be answered: discovery that serves many has a queue.
+  silent_.After(site_.module.list_on_request ? kSilent : kUnheard);
   const std::string target = "/v1/servers?watch=1&after=" + std::to_string(revision_);
   evhttp_make_request(connection_.get(), request, EVHTTP_REQ_GET, target.c_str());
 }
@@ -51,7 +56,9 @@
 void Watch::Lost(const char* how) {
   log_.Warn("discovery.lost", {{"how", how}, {"revision", revision_}});
   silent_.Stop();
-  again_.After(kAgain);
+  // Pushed lists come from an agent on this machine, at no cost. Discovery that hundreds of senders ask five
+  // times a second each refuses nearly all of them for as long as they go on.
+  again_.After(site_.module.list_on_request ? back_off_.Next() : kAgain);
 }
 
 void Watch::Chunk(evhttp_request* request, void* self) {
@@ -76,6 +83,7 @@
     if (parser_.parse(line).get(value) != simdjson::SUCCESS) json::Malformed("no JSON");
     const ListNews news = ReadList(value, site_);
     revision_ = news.revision;
+    back_off_.Succeeded();
     news_(news);
   } catch (const std::exception& e) {
     log_.Warn("discovery.unreadable", {{"why", e.what()}});
--- a/src/net/watch.h
+++ b/src/net/watch.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <string>
 
+#include "clock/back_off.h"
 #include "config/config.h"
 #include "log/log.h"
 #include "net/loop.h"
@@ -13,9 +14,9 @@
 
 class Watch {
  public:
-  // `known`: the version of the list held already.
+  // `known`: the version of the list held already. `seed`: for the waits before it asks again.
   Watch(Loop& loop, const Address& discovery, const SiteSettings& site, std::int64_t known,
-        std::function<void(const ListNews&)> news, Logger& log);
+        std::uint64_t seed, std::function<void(const ListNews&)> news, Logger& log);
   ~Watch();
 
   std::int64_t revision() const { return revision_; }
@@ -38,6 +39,7 @@
   simdjson::dom::parser parser_;
   std::string partial_;
   ConnectionPtr connection_;
+  BackOff back_off_;
   Timer silent_, again_;
 };
 
