--- a/src/brain/decide.cpp
+++ b/src/brain/decide.cpp
@@ -58,9 +58,8 @@
 constexpr double kTrustDoubles = 30.0;  // seconds
 // Idleness is blamed once idle connections fail four times as often as those in use, over a hundred calls.
 constexpr double kBlame = 4, kBreakMemory = 0.99, kUseKnown = 40;  // as if so many in use had failed once
-// Idle connections are kept for a share of connection_idle, by kind: cut to a quarter by a connection that
-// fails where all seemed well, so that about one in thirty fails while the destinations' tables are full.
-// At first for as long as leaves a table no more of them, from all senders, than so many would keep for ever.
+// How long idle connections are kept is cut to a quarter, by kind, by one that fails where all seemed well,
+// and grows by each that finds a place: about one in thirty fails while tables are full.
 constexpr double kKeepCut = 0.25, kKeepGrows = 1.05, kKeepers = 4;
 constexpr double kNoPlace = 0.65;  // of the time of a refusal that told a wait, or of an answer
 constexpr double kQueueing = 0.1;  // price of waiting behind one more call at an endpoint
@@ -192,7 +191,7 @@
       Require(c.worth >= 0, "worth must not be negative");
     }
     for (const KindSettings& k : s_.kinds) Require(k.batch_max > 0, "batch_max must be positive");
-    keep_idle_.resize(s_.kinds.size(), std::min(1.0, kKeepers / s_.senders));
+    keep_idle_.resize(s_.kinds.size(), 1.0);
     usage_.resize(s_.tenants.size());
   }
 
@@ -453,9 +452,8 @@
 
   // ---- Estimates ----------------------------------------------------------------------------------------
 
-  // Expected call time: mean plus two deviations, nought before any call returns. A destination known from a
-  // handful leans on the sender-wide figures; the deviation counts for one mean at most: few samples and long
-  // tails must not make relegation misfire.
+  // Expected call time: mean plus two deviations, nought before any call returns. What a handful tells leans
+  // on the sender-wide figures, and the deviation counts for one mean at most, or relegation would misfire.
   Duration Expected(const Destination& d, bool with_deviation = true) const {
     if (d.latency.n == 0) return Duration(0);
     const double k = d.latency.n / (d.latency.n + kPoolWeight);
@@ -640,14 +638,12 @@
     p.idle_since.pop_back();
     return age;
   }
-  // Closes idle connections in time. Guards against ones dropped unseen, by whatever (those idle for longer
-  // than is trusted), and against full tables: a destination that takes few, idle ones counted, refuses new
-  // ones while hundreds of senders keep one each. Harm: a new connection for each spaced call.
+  // Closes idle connections before they are dropped unseen, by whatever (those idle for longer than is
+  // trusted), or fill the table of an endpoint. Harm: a new connection for each spaced call.
   void CloseUnkept() {
     std::erase_if(idle_, [this](const auto& at) {
       Endpoint& p = *at.second;
-      const Duration keep =
-          std::min(IdleTrust(), FromSeconds(keep_idle_[p.kind] * Seconds(s_.connection_idle)));
+      const Duration keep = std::min(IdleTrust(), KeepFor(p));
       if (p.idle_since.empty() || keep >= s_.connection_idle) return p.idle_since.empty();
       WantWake(p.idle_since.front() + keep);
       if (p.idle_since.front() + keep > now_) return false;
@@ -657,6 +653,17 @@
     });
   }
 
+  // At first as long as leaves an endpoint no more idle connections of all senders than calls in service, or
+  // than a few senders would keep for ever. Of senders that call at random each has one for a time.
+  Duration KeepFor(const Endpoint& p) {
+    const Destination& d = At(p.destination);
+    const auto serves = [&](const Endpoint* e) { return e->usable && e->lane == p.lane; };
+    const double calls = Told(*p.lane) / std::max<double>(1, std::ranges::count_if(d.endpoints, serves));
+    const double kept = std::min(1.0, std::max(kKeepers, calls * Seconds(Expected(d, false))) / s_.senders);
+    const double few = std::min(Seconds(s_.connection_idle), -s_.senders / calls * std::log(1 - kept));
+    return std::min(s_.connection_idle, FromSeconds(keep_idle_[p.kind] * few));
+  }
+
   Duration IdleTrust() const {
     if (!idle_trust_) return Duration::max();
     const double doublings = Seconds(now_ - idle_trust_->second) / kTrustDoubles;
@@ -839,8 +846,7 @@
     return expected > 0 && now_ - *p.out_since.begin() > limit;
   }
 
-  // Suspicion ages: a sender that calls seldom, and may not probe, would hold its unsafe messages for ever.
-  // Risk: an unsafe message lost in an outage that lasts longer.
+  // Suspicion ages, or who calls seldom holds unsafe messages for ever. Risk: a longer outage takes one.
   double Doubt(const Endpoint& p) const {
     return p.doubt * std::exp(-Seconds(now_ - p.doubt_at) / std::max(1e-3, Seconds(s_.warm_within)));
   }
@@ -897,9 +903,8 @@
     p.trust_before.reset();
     if (outcome == Outcome::kCancelled || outcome == Outcome::kMoot) return;
     if (outcome == Outcome::kConnectFailed && Doubt(p) <= kSuspect) keep_idle_[p.kind] *= kKeepCut;
-    if (outcome == Outcome::kOk && idle == Duration(0)) {
-      keep_idle_[p.kind] = std::min(1.0, kKeepGrows * keep_idle_[p.kind]);
-    }
+    const bool crowded = KeepFor(p) < s_.connection_idle;
+    if (outcome == Outcome::kOk && idle == Duration(0) && crowded) keep_idle_[p.kind] *= kKeepGrows;
     if (outcome == Outcome::kOk) {
       if (took > Duration(0)) {  // failures and refusals never feed the expected time
         At(p.destination).latency.Add(static_cast<double>(took.count()));
@@ -925,7 +930,7 @@
       if (idle == Duration(0) && told_wait > Duration(0)) told_.Add(static_cast<double>(took.count()));
       const double usual = told_.n > 0 ? told_.mean : pool_.mean;
       const bool early = idle == Duration(0) && static_cast<double>(took.count()) < kNoPlace * usual;
-      const bool unplaced = early && told_wait == Duration(0) && keep_idle_[p.kind] < 1 && !p.outage;
+      const bool unplaced = early && told_wait == Duration(0) && crowded && !p.outage;
       if (unplaced) keep_idle_[p.kind] *= kKeepCut;
       const bool confirm = unplaced && ++lane.unconnected == 1;
       if (!confirm) CutPace(lane, sent);
@@ -939,13 +944,11 @@
       }
       return;
     }
-    // Guards against outages seen where connections break at random: what has really gone refuses the next
-    // connection, or says nothing, which counts in full.
+    // Connections also break at random: what has really gone refuses the next, or is silent: counted in full.
     const bool weak = outcome == Outcome::kError || outcome == Outcome::kReset;
     p.failures += weak ? 0 : 1;
     p.may_run = outcome != Outcome::kConnectFailed;
-    // A connection that fails may have met a full table: one more call soon tells. One for all endpoints:
-    // senders that each tried every endpoint thrice pushed one over that had just come back.
+    // A connection that fails may have met a full table: one more call, to any endpoint, soon tells.
     const bool confirm = !p.may_run && !p.outage && ++lane.unconnected == 1;
     MoveDoubt(p, 1, weak || at_deadline || confirm ? kDoubtError : kDoubtHard);
     if (confirm || p.doubt >= kDoubtHard) {
@@ -969,17 +972,15 @@
 
   // ---- Guards -------------------------------------------------------------------------------------------
 
-  // Fail-back: a returning destination is cold and falls over if pushed, wherever its calls go. From the
-  // first refusal or hard failure on, calls and probes to all that shares its limit go by credit, a share of
-  // what it can take, until it has answered (for long enough, after an outage).
+  // Fail-back: a returning destination is cold and falls over if pushed. From the first refusal or failure on
+  // calls to all that shares its limit go by credit, until it has answered (for long, after an outage).
   void GoCold(Endpoint& p, bool confirm = false) {
     Lane& lane = *p.lane;
     if (!lane.cold_since) {
       lane.cold_since = lane.credit_at = now_;
       lane.usual = lane.served.Of(now_);
       lane.recovered.reset();
-      // One call at once to a sibling shows whose trouble it is. Else a random start lets some of many
-      // senders try early where each may make less than one call.
+      // One call at once to a sibling shows whose trouble it is. Else some of many senders try early.
       const bool sibling =
           lane.refusals == 0 && std::ranges::any_of(At(p.destination).endpoints, [&](auto* e) {
             return e != &p && e->usable && e->lane == &lane && Doubt(*e) <= kSuspect;
@@ -1065,7 +1066,7 @@
   double broke_[2] = {}, tried_[2] = {};   // calls of late on connections in use, and on rested ones
   std::vector<Rate> usage_;                // by tenant, messages taken
   Duration turn_late_{0};                  // by which wakes came late, at worst and of late
-  std::vector<double> keep_idle_;          // by kind, share of connection_idle
+  std::vector<double> keep_idle_;          // by kind, of the time that KeepFor begins with
   std::map<std::string, Endpoint*> idle_;  // endpoints that may have idle connections
   int held_ = 0, relegated_ = 0, suspect_out_ = 0;
   double relegated_share_ = 0;
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -194,6 +194,17 @@
   }
 }
 
+// A hundred calls a second and a table of fifteen: idle connections may not rest as long as at a small one.
+TEST(Fleet, ABusyEndpointsTableIsNotFilledByIdleConnections) {
+  for (const int senders : {3, 100, 300}) {
+    for (const std::uint64_t seed : {1, 2, 3}) {
+      const Account a = Fleet({.senders = senders, .table = 15, .arrivals = 100, .told = 150}, seed).Run(10s);
+      for (int c = 0; c < 3; ++c) EXPECT_GE(a.Share(c), 0.95) << senders << " senders, class " << c;
+      EXPECT_LE(a.no_place, a.calls / 20) << senders << " senders";
+    }
+  }
+}
+
 TEST(Fleet, ALimitThatCountsRefusedCallsIsNotKeptUsedUp) {
   for (const int senders : {3, 300}) {
     for (const std::uint64_t seed : {1, 2, 3}) {
