--- a/src/brain/decide.cpp
+++ b/src/brain/decide.cpp
@@ -35,9 +35,7 @@
 constexpr Duration kBoundFor = seconds(2);
 constexpr double kCut = 0.5;          // pace, of the rate before
 constexpr double kLandAtLeast = 0.8;  // of an even split of the told rate
-// One to all senders come back after a refusal: the first cut takes the root of their number, further ones go
-// down to an even split. A floor for each swamps a limit shared by hundreds.
-constexpr double kUntoldRate = 2.0;  // calls a second that a limit is taken for where none is told
+constexpr double kUntoldRate = 2.0;   // calls a second that a limit is taken for where none is told
 // A success adds a share of the rate by the time since the last; doubling balances at half refused.
 constexpr double kCreep = 0.03, kCreepPerSecond = 0.1, kMostCreep = 0.25;
 constexpr double kBurstSeconds = 0.3;  // tokens a bucket holds, in seconds of its rate
@@ -103,7 +101,7 @@
   Time tokens_at{0}, last_cut{-1}, crept_at{0};
   Rate served;  // calls answered
   std::deque<Time> sent;
-  int refusals = 0, unconnected = 0;  // in a row: refusals, failed connections
+  int refusals = 0, unconnected = 0, cuts = 0;  // in a row: refusals, failed connections, cuts by a limit
   Time refused_since{0};
   std::optional<Time> cold_since;  // held to the fail-back budget since
   std::optional<Time> recovered;   // the first call answered since
@@ -307,14 +305,12 @@
             m.deadline <= now_ + kLeastNotice, call->second.idle);
     }
     Endpoint& endpoint = *call->second.endpoint;
-    for (auto& [number, other] : calls_) {
-      const bool before = other.endpoint == &endpoint && other.sent < call->second.sent;
-      other.overtaken += e.outcome == Outcome::kOk && before ? 1 : 0;
-    }
     // Every outcome is heard for its wait: the members of a call may be told waits of different length.
     endpoint.lane->wait_until = std::max(endpoint.lane->wait_until, now_ + e.told_wait);
     std::erase(call->second.members, &m);
     for (auto& [number, other] : calls_) {  // what is still connecting would arrive amid the wait
+      const bool before = other.endpoint == &endpoint && other.sent < call->second.sent;
+      other.overtaken += e.outcome == Outcome::kOk && before ? 1 : 0;
       if (e.told_wait <= Duration(0) || other.endpoint->lane != endpoint.lane) continue;
       for (Message* o : other.members) actions_->push_back(Recall{o->id, o->attempts - 1});
     }
@@ -415,10 +411,9 @@
     Dequeue(m);
     Duration wait(0);
     for (Endpoint* p : At(m.destination).endpoints) {
-      if (p->usable && s_.may_tell_wait)
-        wait = std::max({wait, p->lane->wait_until - now_, p->retry_at - now_});
+      if (p->usable) wait = std::max({wait, p->lane->wait_until - now_, p->retry_at - now_});
     }
-    wait = std::min(wait, s_.most_client_wait);
+    wait = s_.may_tell_wait ? std::min(wait, s_.most_client_wait) : Duration(0);
     actions_->push_back(Refusable(m) ? Action(Refuse{m.id, wait}) : Action(Fail{m.id}));
     Forget(m);
     EraseIfOver(m);
@@ -810,14 +805,13 @@
     if (!p.spared) lane.credit -= 1;
   }
 
-  // Cut the pace once for a burst: only for calls sent after the last cut.
+  // Once for a burst: only for calls sent after the last cut. One to all senders come back: first their root.
   void CutPace(Lane& lane, Time call_sent) {
     if (call_sent <= lane.last_cut) return;
     lane.last_cut = now_;
     const double recent = static_cast<double>(lane.sent.size()) / std::max(0.1, Seconds(s_.tip_after));
-    const double told = Told(lane);
-    const double before = std::min(recent, lane.rate > 0 ? lane.rate : 2 * told / std::sqrt(s_.senders));
-    lane.rate = std::max(kCut * before, kLandAtLeast * told / s_.senders);
+    const double was = std::min(recent, lane.rate > 0 ? lane.rate : 2 * Told(lane) / std::sqrt(s_.senders));
+    lane.rate = std::max(kCut * was, kLandAtLeast * Even(lane));
     // The next call at random in twice the mean gap: senders refused together must not come back together.
     lane.tokens = 1 - std::uniform_real_distribution<double>(0, 2)(random_);
     lane.tokens_at = lane.crept_at = now_;
@@ -829,10 +823,17 @@
     return lane.told_rate > 0 ? lane.told_rate : std::max(kUntoldRate, own * s_.senders);
   }
 
+  // An even split of the told rate, the least pace. While a limit goes on refusing it takes less than is
+  // told, or is used up by refused calls: half with each further cut, down to what a cold destination takes.
+  double Even(const Lane& lane) const {
+    return Told(lane) / s_.senders * std::max(s_.cold_share, std::pow(kCut, std::max(0, lane.cuts - 1)));
+  }
+
   void CreepPace(Lane& lane) {
     if (lane.rate <= 0) return;
     const double share = std::clamp(kCreepPerSecond * Seconds(now_ - lane.crept_at), kCreep, kMostCreep);
     lane.crept_at = std::max(now_, lane.crept_at);
+    lane.rate = std::max(lane.rate, std::min(2 * lane.rate, kLandAtLeast * Even(lane)));
     lane.rate += std::max(kCreep * lane.told_rate / s_.senders, share * lane.rate);
     if (lane.told_rate > 0) lane.rate = std::min(lane.rate, lane.told_rate);
   }
@@ -918,7 +919,7 @@
         }
       }
       p.last_ok = now_;
-      lane.refusals = lane.unconnected = 0;
+      lane.refusals = lane.unconnected = lane.cuts = 0;
       MoveDoubt(p, 0, kTrust);
       lane.served.Add(now_);
       return CreepPace(lane);
@@ -928,11 +929,11 @@
       // A full table tells nothing of the destination's pace: as with a failed connection one more call does.
       // It tells no wait, and refuses before the handshake: sooner than a limit. Few senders can't fill one.
       if (idle == Duration(0) && told_wait > Duration(0)) told_.Add(static_cast<double>(took.count()));
-      const double usual = told_.n > 0 ? told_.mean : pool_.mean;
-      const bool early = idle == Duration(0) && static_cast<double>(took.count()) < kNoPlace * usual;
-      const bool unplaced = early && told_wait == Duration(0) && crowded && !p.outage;
+      const bool early = static_cast<double>(took.count()) < kNoPlace * (told_.n > 0 ? told_ : pool_).mean;
+      const bool unplaced = early && idle + told_wait == Duration(0) && crowded && !p.outage;
       if (unplaced) keep_idle_[p.kind] *= kKeepCut;
       const bool confirm = unplaced && ++lane.unconnected == 1;
+      lane.cuts += !unplaced && sent > lane.last_cut ? 1 : 0;
       if (!confirm) CutPace(lane, sent);
       if (lane.refusals++ == 0) lane.refused_since = now_;
       GoCold(p, confirm);
@@ -1010,7 +1011,7 @@
     const double present = std::min(1.0, s_.cold_share + (1 - s_.cold_share) * warmth);
     // Its share of all: usual answered calls, and one message of all that came since the failure.
     double share = lane.usual + 1 / std::max(0.1, Seconds(now_ - *lane.cold_since + s_.tip_after));
-    share = std::max(share, Told(lane) / s_.senders);
+    share = std::max(share, Even(lane));
     if (lane.told_rate > 0) share = std::min(share, lane.told_rate);
     // Where few senders have seen the failure the others' calls outweigh theirs, and they may go on more.
     // That others like this one have not is likely while no second message waits here.
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -21,11 +21,12 @@
   double arrivals = 18;                 // messages a second, from all clients
   double told = 24;                     // rate in the list
   double down_from = -1, down_to = -1;  // seconds; connections are refused
+  double low_from = -1, low_to = -1;    // seconds; the limit is two fifths
 };
 
 struct Account {
   std::array<int, 3> taken{}, delivered{};  // by class
-  int calls = 0, no_place = 0, opened = 0, while_down = 0;
+  int calls = 0, no_place = 0, opened = 0, while_down = 0, while_low = 0;
   double Share(int c) const { return static_cast<double>(delivered[c]) / taken[c]; }
 };
 
@@ -156,7 +157,11 @@
     if (shape_.limit == 0) return false;
     while (!reached_.empty() && reached_.front() + 500ms <= now) reached_.pop_front();
     reached_.push_back(now);
-    return static_cast<int>(reached_.size()) > shape_.limit;
+    const double second = static_cast<double>(now.count()) / 1e6;
+    const bool low = second >= shape_.low_from && second < shape_.low_to;
+    const bool over = static_cast<double>(reached_.size()) > (low ? 0.4 : 1.0) * shape_.limit;
+    account_.while_low += low && !over ? 1 : 0;
+    return over;
   }
 
   void Arrive(const Due& due) {
@@ -214,6 +219,26 @@
   }
 }
 
+// The list goes on telling the usual rate, and each sender makes about a call a second. The calls of the
+// first 10 s are not all lost: the fleet finds what the lowered limit takes, and comes back when it is
+// raised.
+TEST(Fleet, ALoweredLimitThatCountsRefusedCallsOpensAgain) {
+  for (const int senders : {3, 100, 300}) {
+    for (const std::uint64_t seed : {1, 2, 3}) {
+      const Shape shape = {.senders = senders,
+                           .table = 1000,
+                           .limit = 90,
+                           .arrivals = 110,
+                           .told = 200,
+                           .low_from = 6,
+                           .low_to = 16};
+      const Account a = Fleet(shape, seed).Run(30s);
+      EXPECT_GE(a.while_low, 10 * 2 * 0.4 * 90 / 4) << senders << " senders, seed " << seed;
+      for (int c = 0; c < 3; ++c) EXPECT_GE(a.Share(c), 0.6) << senders << " senders, class " << c;
+    }
+  }
+}
+
 // Hundreds of senders with a message now and then each have to find out for themselves. What they try
 // together stays near the traffic, and what they hold still arrives once it is back.
 TEST(Fleet, TrialsOfADownDestinationStayNearItsTraffic) {
