--- a/src/brain/decide.cpp
+++ b/src/brain/decide.cpp
@@ -63,6 +63,7 @@
 constexpr double kQueueing = 0.1;  // price of waiting behind one more call at an endpoint
 constexpr int kQueueCalls = 1;     // while slots bind: by so many expected times one more makes a call longer
 constexpr double kShedMargin = 0.04;                 // of most_held is kept free
+constexpr double kEarly = 0.7, kEarlyPrice = 0.3;    // of its time; of the worth of what is returned before
 constexpr Duration kLeastNotice = milliseconds(15);  // of a deadline, for the final answer to arrive
 constexpr double kBudgetUsed = 0.85;                 // of the fail-back budget, the rest is for chance
 // Of the calls that a sender without the failure makes, for one with it: twice as many break the rule
@@ -137,7 +138,7 @@
   std::string id;
   std::uint64_t number = 0;
   int destination = 0, cls = 0, tenant = 0;
-  Time arrival{0}, aim{0}, deadline{0};
+  Time taken{0}, arrival{0}, aim{0}, deadline{0};
   std::string key;
   int attempts = 0;
   bool out = false, ended = false, relegated = false, spared = false;
@@ -265,7 +266,7 @@
     std::tie(m.id, m.destination, m.cls, m.tenant) = std::tie(e.id, e.destination, e.message_class, e.tenant);
     m.number = next_number_++;
     if (static_cast<std::size_t>(e.tenant) < usage_.size()) usage_[e.tenant].Add(now_);
-    m.deadline = now_ + e.time_left;
+    m.taken = now_, m.deadline = now_ + e.time_left;
     // A message handed over keeps its age, so queues are in order of deadlines. One with less left than its
     // aim is an impatient client's and due at its deadline: taken for old it would step back and starve.
     const ClassSettings& c = s_.classes[m.cls];
@@ -742,14 +743,9 @@
       const Duration need = std::max<Duration>(Expected(d, false), kLeastNotice) + turn_late_;
       for (auto* queues : {&d.ready, &d.relegated}) {
         for (Queue& queue : *queues) {
-          while (!queue.empty()) {
-            Message& m = *queue.begin()->second;
-            if (m.deadline - now_ >= need) {
-              WantWake(m.deadline - need + milliseconds(1));
-              break;
-            }
-            GiveUp(m);
-          }
+          while (!queue.empty() && queue.begin()->second->deadline - now_ < need)
+            GiveUp(*queue.begin()->second);
+          if (!queue.empty()) WantWake(queue.begin()->second->deadline - need + milliseconds(1));
         }
       }
     }
@@ -770,8 +766,12 @@
           for (std::size_t c = 0; c < queues->size(); ++c) {
             if ((*queues)[c].empty()) continue;
             Message* m = (*queues)[c].rbegin()->second;
-            const double worth = Worth(*m) * (m->relegated ? s_.classes[c].late_share : 1.0) /
-                                 (1 + ahead / Seconds(s_.classes[c].aim));
+            const double aims = ahead / Seconds(s_.classes[c].aim);
+            // What came just now has no answer yet: refusing it breaks no promise.
+            const bool promised = m->taken < now_ && !m->may_have_run &&
+                                  Seconds(now_ - m->taken) < kEarly * Seconds(m->deadline - m->taken);
+            const double left = (m->relegated ? s_.classes[c].late_share : 1.0) / (1 + aims);
+            const double worth = Worth(*m) * (left + (promised ? kEarlyPrice : 0.0));
             if (least == nullptr || worth < least_worth) std::tie(least, least_worth) = std::pair(m, worth);
           }
         }
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -244,6 +244,31 @@
   EXPECT_EQ(node.Ids<Send>(), "a b c d");
 }
 
+// Room is made by what has no answer yet, then by what has had most of its time: a message that was taken on
+// is not returned early for one of little more worth, but for one of much more it is.
+TEST(Shed, WhatWasTakenOnIsNotReturnedEarlyForItsLike) {
+  const struct {
+    const char* name;
+    int newcomer;
+    Time at;
+    bool newcomer_goes;
+  } cases[] = {{"its like", kSafeClass, 5s, true},
+               {"much more worth", kUnsafeClass, 5s, false},
+               {"its like, after seven tenths of the others' time", kSafeClass, 15s, false}};
+  for (const auto& c : cases) {
+    Settings s = SmallSettings();
+    s.most_held = 3;  // one place is kept free
+    Node node(s);
+    node.List(0s, {At("e", 0)});
+    node.Step(0s, {Node::Taken("first")});
+    node.End(100ms, "first", Outcome::kFull, 100ms, 19s);  // nothing leaves until 19.1 s
+    node.Take(200ms, "old", kSafeClass, 20s);
+    node.Take(c.at, "new", c.newcomer, 20s);
+    ASSERT_EQ(node.All<Refuse>().size(), 1u) << c.name;
+    EXPECT_EQ(node.All<Refuse>()[0].id == "new", c.newcomer_goes) << c.name;
+  }
+}
+
 TEST(Release, LowestPLeavesFirstAndHandedOverMessagesKeepTheirAge) {
   Settings s = SmallSettings();
   s.slots = 1;
