A repeat of a keyed message is judged when its bytes leave, not when it is chosen

Ruled out: the module's own check (WindowOver, 15 ms of margin), the first attempt's time on record. At fault: the pool queued the call's bytes at once and libevent wrote them whenever the connection came up (Connection::Call).

Now the send stage says how long a repeat may still be written, from the first attempt on record, and the pool writes by itself as the connection comes up, or ends the call unsent (moot).

--- a/src/core/types.h
+++ b/src/core/types.h
@@ -91,6 +91,8 @@
   const Request* request = nullptr;
   std::string endpoint = {};
   Duration time_out{0};
+  // Its last byte leaves in that time or never: the outcome is kMoot then. Absent: whenever.
+  std::optional<Duration> write_within = {};
 };
 
 struct CallResult {
--- a/src/net/endpoint_pool.cpp
+++ b/src/net/endpoint_pool.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <cerrno>
 #include <charconv>
 #include <cmath>
 #include <optional>
@@ -105,7 +106,10 @@
         connect_(pool.loop_, [this] { End(Outcome::kConnectFailed); }),
         time_out_(pool.loop_, [this] { End(Written() ? Outcome::kTimeout : Outcome::kConnectFailed); }),
         answer_(pool.loop_, [this] { Spoilt(); }),
-        idle_(pool.loop_, [this] { pool_.Drop(*this); }) {
+        idle_(pool.loop_, [this] { pool_.Drop(*this); }),
+        late_(pool.loop_, [this] {
+          if (!Written()) End(Outcome::kMoot);
+        }) {
     bufferevent_setcb(buffers_.get(), Readable, AllWritten, Happened, this);
     bufferevent_setwatermark(buffers_.get(), EV_READ, 0, 2 * kMostHead);
     bufferevent_enable(buffers_.get(), EV_READ | EV_WRITE);
@@ -124,17 +128,13 @@
   Endpoint& endpoint() { return endpoint_; }
   std::uint64_t number() const { return number_; }
   // Whether it may be used again: still where the endpoint is, and nothing came that no call asked for.
-  bool sound() const {
-    char byte = 0;
-    return address_ == endpoint_.text && !endpoint_.gone && evbuffer_get_length(Input()) == 0 &&
-           ::recv(bufferevent_getfd(buffers_.get()), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0;
-  }
+  bool sound() const { return address_ == endpoint_.text && !endpoint_.gone && Silent(); }
   std::chrono::steady_clock::time_point rested() const { return rested_; }
 
   void Call(const CallOrder& order) {
     number_ = order.number;
     busy_ = true;
-    says_ok_ = counted_ = false;
+    says_ok_ = counted_ = early_ = false;
     interim_ = 0;
     idle_.Stop();
     const Request& r = *order.request;
@@ -142,9 +142,14 @@
     if (!r.key.empty()) text += "Idempotency-Key: " + r.key + "\r\n";
     text += "X-Deadline: " + DeadlineText(order.time_out) + "\r\n";
     for (const auto& [name, value] : r.attributes) text += name + ": " + value + "\r\n";
-    text += "Content-Length: " + std::to_string(r.body.size()) + "\r\n\r\n" + r.body;
-    bufferevent_write(buffers_.get(), text.data(), text.size());
+    unwritten_ = text + "Content-Length: " + std::to_string(r.body.size()) + "\r\n\r\n" + r.body;
     time_out_.After(order.time_out);
+    write_until_ = std::chrono::steady_clock::time_point::max();
+    if (order.write_within) {
+      write_until_ = std::chrono::steady_clock::now() + *order.write_within;
+      late_.After(*order.write_within);
+    }
+    if (connected_) Write();
   }
 
   void Rest() {  // idle from now on
@@ -152,7 +157,8 @@
     idle_.After(std::max<Duration>(pool_.limits_.idle - kIdleMargin, pool_.limits_.idle / 2));
   }
   bool Written() const {
-    return connected_ && evbuffer_get_length(bufferevent_get_output(buffers_.get())) == 0;
+    return connected_ && unwritten_.empty() &&
+           evbuffer_get_length(bufferevent_get_output(buffers_.get())) == 0;
   }
   void End(Outcome outcome) {  // without a whole answer
     CallResult result;
@@ -162,8 +168,9 @@
   }
   void Leave() {
     busy_ = false;
+    bufferevent_disable(buffers_.get(), EV_READ | EV_WRITE);  // libevent may still be amid it
     buffers_.reset();
-    for (Timer* timer : {&connect_, &time_out_, &answer_, &idle_}) timer->Stop();
+    for (Timer* timer : {&connect_, &time_out_, &answer_, &idle_, &late_}) timer->Stop();
   }
 
  private:
@@ -171,6 +178,27 @@
 
   evbuffer* Input() const { return bufferevent_get_input(buffers_.get()); }
 
+  // Nothing has come that was not read: no byte, no end, no reset.
+  bool Silent() const {
+    char byte = 0;
+    return evbuffer_get_length(Input()) == 0 &&
+           ::recv(bufferevent_getfd(buffers_.get()), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
+           (errno == EAGAIN || errno == EWOULDBLOCK);
+  }
+  // At once and not in the loop's next round: what was judged of the moment, and of the connection, holds.
+  void Write() {
+    if (std::chrono::steady_clock::now() >= write_until_) return End(Outcome::kMoot);
+    const std::string text = std::exchange(unwritten_, {});
+    const ssize_t sent =
+        ::send(bufferevent_getfd(buffers_.get()), text.data(), text.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (sent < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR) {
+      unwritten_ = text;
+      return End(Outcome::kConnectFailed);
+    }
+    const auto out = static_cast<std::size_t>(std::max<ssize_t>(sent, 0));
+    if (out < text.size()) bufferevent_write(buffers_.get(), text.data() + out, text.size() - out);
+    CountWritten();
+  }
   void CountWritten() {  // once for each call
     if (!busy_ || counted_ || !Written()) return;
     counted_ = true;
@@ -183,6 +211,8 @@
     time_out_.Stop();
     answer_.Stop();
     connect_.Stop();
+    late_.Stop();
+    if (early_ && result.outcome != Outcome::kFull) result.outcome = Outcome::kConnectFailed;
     result.number = number_;
     pool_.Finish(*this, result, reusable, settle);
   }
@@ -191,6 +221,9 @@
 
   void Read() {
     if (!busy_) return pool_.Drop(*this);  // what comes unasked is nobody's answer
+    if (!connected_) return;               // read once the loop has told of the connect
+    // Nor is what comes before the call's last byte has left: it has not run, and never will.
+    if (!Written() && !early_) return End(Outcome::kConnectFailed);
     while (evbuffer_get_length(Input()) > 0) {
       if (!answer_.pending()) answer_.After(kWholeAnswer);
       if (!parser_) {
@@ -235,7 +268,7 @@
   void Answered() {
     const CallResult result = ReadAnswer(parser_->get());
     placed_ = placed_ || parser_->get().result_int() != 503;
-    Over(result, parser_->keep_alive() && placed_, false);
+    Over(result, parser_->keep_alive() && placed_ && !early_, false);
   }
 
   static void Readable(bufferevent*, void* self) { static_cast<Connection*>(self)->Read(); }
@@ -247,6 +280,14 @@
       c->connect_.Stop();
       const int on = 1;
       ::setsockopt(bufferevent_getfd(c->buffers_.get()), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+      if (!c->busy_) return;
+      // What was sent before the call can only turn it away: then it need not leave.
+      c->early_ = !c->Silent();
+      if (!c->early_) {
+        c->Write();
+      } else if (evbuffer_get_length(c->Input()) > 0) {
+        c->Read();
+      }
       return;
     }
     if (!c->busy_) return c->pool_.Drop(*c);
@@ -262,15 +303,17 @@
   Endpoint& endpoint_;
   const std::string address_;
   std::unique_ptr<bufferevent, Free<bufferevent_free>> buffers_;
-  Timer connect_, time_out_, answer_, idle_;
+  Timer connect_, time_out_, answer_, idle_, late_;
   std::optional<Parser> parser_;
   std::uint64_t number_ = 0;
   bool busy_ = false, connected_ = false, counted_ = false;
   bool says_ok_ = false;  // the first line of the answer that is coming
   // It may have no place in the endpoint's table, and be refused for ever, until it brought another answer.
   bool placed_ = false;
+  bool early_ = false;  // the endpoint spoke before the call was written, which it never is then
   int interim_ = 0;
-  std::chrono::steady_clock::time_point rested_;
+  std::string unwritten_;  // of the call, while the connection comes up
+  std::chrono::steady_clock::time_point write_until_, rested_;
 };
 
 EndpointPool::EndpointPool(Loop& loop, Limits limits, std::function<void(const CallResult&)> back)
@@ -285,6 +328,7 @@
 void EndpointPool::Learn(const EndpointNews& news) {
   Endpoint& endpoint = endpoints_[news.entry.endpoint];
   endpoint.gone = false;
+  if (news.entry.state != EndpointEntry::State::kUp) RecallFrom(endpoint);
   if (endpoint.text == news.address) return;
   CloseIdle(news.entry.endpoint);  // it has moved; calls that are out go on where they are
   endpoint.text = news.address;
@@ -296,7 +340,20 @@
   if (at == endpoints_.end()) return;
   CloseIdle(endpoint);
   at->second.gone = true;
-  if (at->second.open == 0) endpoints_.erase(at);
+  if (at->second.open == 0) {
+    endpoints_.erase(at);
+  } else {
+    RecallFrom(at->second);
+  }
+}
+
+// Drains: a call that is still connecting would be written when the connection comes up, however late.
+void EndpointPool::RecallFrom(const Endpoint& endpoint) {
+  std::vector<std::uint64_t> numbers;
+  for (const auto& [number, connection] : calls_) {
+    if (&connection->endpoint() == &endpoint) numbers.push_back(number);
+  }
+  for (const std::uint64_t number : numbers) Recall(number);
 }
 
 EndpointPool::Connection* EndpointPool::Open(Endpoint& endpoint) {
--- a/src/net/endpoint_pool.h
+++ b/src/net/endpoint_pool.h
@@ -52,6 +52,7 @@
   };
 
   Connection* Open(Endpoint& endpoint);
+  void RecallFrom(const Endpoint& endpoint);
   bool MakeRoom();
   Connection* TakeIdle(Endpoint& endpoint);
   // `settle`: the endpoint may not know yet that the call is over.
--- a/src/stages/chain.h
+++ b/src/stages/chain.h
@@ -17,7 +17,7 @@
       : ledger(ledger),
         keep(keep),
         book(ledger, journal, teller, clock, keep, tally),
-        send(ledger, journal, caller, clock, keep != nullptr,
+        send(site.module.classes, ledger, journal, caller, clock, keep != nullptr,
              [this](const CallResult& result) { relay.Back(result); }),
         route(Sender(site.module, seed), ledger, send, book, caller, host, clock),
         relay(ledger, journal, route, book, clock, keep, memory),
--- a/src/stages/send.cpp
+++ b/src/stages/send.cpp
@@ -19,12 +19,23 @@
   if (histories_) message->history.push_back({now, endpoint, {}, Duration(0)});
   journal_.Attempted(*message);
   if (journal_.Safe(*message)) {
-    caller_.Call({number, &message->request, endpoint, time_out});
+    Call(*message, endpoint, time_out);
   } else {
     waiting_[number] = {endpoint, time_out, now.wall};
   }
 }
 
+// A connection may come up long after the module chose to send: whether the destination still drops a repeat
+// is judged when the bytes leave, from the first attempt on record.
+void SendStage::Call(const Message& message, const std::string& endpoint, Duration time_out) {
+  CallOrder order{message.number, &message.request, endpoint, time_out};
+  const ClassSettings& c = classes_.at(static_cast<std::size_t>(message.request.message_class));
+  if (message.may_have_run && c.effect == Effect::kKeyed) {
+    order.write_within = *message.may_have_run + c.repeat_window - clock_.Now();
+  }
+  caller_.Call(order);
+}
+
 void SendStage::Progress() {
   const Time now = clock_.Now();
   std::vector<std::uint64_t> unsent = std::exchange(unsent_, {});
@@ -36,7 +47,7 @@
         continue;
       }
       if (now - at->second.since <= kFresh) {
-        caller_.Call({at->first, &message->request, at->second.endpoint, at->second.time_out});
+        Call(*message, at->second.endpoint, at->second.time_out);
         at = waiting_.erase(at);
         continue;
       }
--- a/src/stages/send.h
+++ b/src/stages/send.h
@@ -17,11 +17,13 @@
 
 class SendStage {
  public:
+  // `classes`: of messages, by number; outlives it.
   // `histories`: attempts are noted in the message, for those who may look into it later.
   // `back` takes the results of calls that never left.
-  SendStage(Ledger& ledger, Journal& journal, Caller& caller, const Clock& clock, bool histories,
-            std::function<void(const CallResult&)> back)
-      : ledger_(ledger),
+  SendStage(const std::vector<ClassSettings>& classes, Ledger& ledger, Journal& journal, Caller& caller,
+            const Clock& clock, bool histories, std::function<void(const CallResult&)> back)
+      : classes_(classes),
+        ledger_(ledger),
         journal_(journal),
         caller_(caller),
         clock_(clock),
@@ -43,6 +45,9 @@
     Duration time_out{0};
     Time since{0};
   };
+  void Call(const Message& message, const std::string& endpoint, Duration time_out);
+
+  const std::vector<ClassSettings>& classes_;
   Ledger& ledger_;
   Journal& journal_;
   Caller& caller_;
