--- a/src/net/http_calls.cpp
+++ b/src/net/http_calls.cpp
@@ -3,23 +3,26 @@
 #include <event2/buffer.h>
 #include <event2/keyvalq_struct.h>
 
+#include "net/http_connection.h"
 #include "net/written.h"
 
 namespace sagetally {
+namespace {
+
+constexpr std::size_t kMostAnswer = 64 * 1024 * 1024;  // a registry's list of all applications
+
+}  // namespace
 
 class HttpCalls::One {
  public:
   One(HttpCalls& calls, const Address& to, Done done)
       : calls_(calls),
         done_(std::move(done)),
-        connection_(evhttp_connection_base_new(calls.loop_.base(), nullptr, to.host.c_str(), to.port)),
+        connection_(OpenConnection(calls.loop_, to, kMostAnswer, kMostAnswer)),
         watch_(connection_.get(), [] {}),
         time_out_(calls.loop_, [this] {
           End({0, watch_.written()});
-        }) {
-    evhttp_connection_set_retries(connection_.get(), 0);
-    evhttp_connection_set_timeout(connection_.get(), 24 * 3600);
-  }
+        }) {}
   void Send(evhttp_request* request, evhttp_cmd_type method, const std::string& path, Duration time_out) {
     time_out_.After(time_out);
     evhttp_make_request(connection_.get(), request, method, path.c_str());
--- a/src/net/notices.cpp
+++ b/src/net/notices.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "config/json.h"
+#include "net/http_connection.h"
 
 namespace sagetally {
 namespace {
@@ -12,6 +13,7 @@
 constexpr Duration kAgain = std::chrono::milliseconds(50);
 constexpr Duration kUnheard = std::chrono::milliseconds(500);  // the agent answers at once
 constexpr std::size_t kMostLines = 200;                        // in one post
+constexpr std::size_t kMostAnswer = 64 * 1024;
 
 std::string Line(const Message& m) {
   std::string line = "{\"id\":" + json::Quote(m.request.id) + ",\"status\":";
@@ -64,11 +66,10 @@
 
 void Notices::Post() {
   if (waiting_.empty()) return;
-  if (!connection_) {
-    connection_.reset(evhttp_connection_base_new(loop_.base(), nullptr, to_.host.c_str(), to_.port));
-    evhttp_connection_set_retries(connection_.get(), 0);
-    evhttp_connection_set_timeout(connection_.get(), 24 * 3600);
-  }
+  // Guards a notice against the answer to an earlier post that was given up, and against a connection that
+  // has fallen silent.
+  if (failing_) connection_.reset();
+  if (!connection_) connection_ = OpenConnection(loop_, to_, kMostAnswer, kMostAnswer);
   evhttp_request* request = evhttp_request_new(Done, this);
   evkeyvalq* headers = evhttp_request_get_output_headers(request);
   evhttp_add_header(headers, "Host", to_.host.c_str());
--- a/src/net/watch.cpp
+++ b/src/net/watch.cpp
@@ -2,18 +2,36 @@
 
 #include <event2/buffer.h>
 
+#include <algorithm>
 #include <utility>
 
+#include "net/http_connection.h"
+
 namespace sagetally {
 namespace {
 
-constexpr Duration kSilent = std::chrono::milliseconds(4500);   // a line comes every 2 s
-constexpr Duration kUnheard = std::chrono::milliseconds(1500);  // the agent answers at once
+// What discovery has counts as told after 6 s, and a drain binds 2 s later. A line comes every 2 s, so a
+// silent watch is known after 3 s. From then on an ask has its place and, unless hundreds share discovery, a
+// second one, as the first may be refused late or never be answered: 3 + 2.2 + 0.6 + 2.2 s.
+constexpr Duration kSilent = std::chrono::milliseconds(3000);
+constexpr Duration kUnheard = std::chrono::milliseconds(1000);       // the agent answers at once
+constexpr Duration kUnheardAsked = std::chrono::milliseconds(2200);  // discovery refuses after up to 2 s
 constexpr Duration kAgain = std::chrono::milliseconds(200);
 // Where lists are asked for, discovery itself serves all senders: together they come again no sooner than so
 // many of them would at kAgain.
 constexpr int kFewSenders = 4;
-constexpr std::size_t kLongestLine = 4 * 1024 * 1024;
+// The longest wait between two asks, however many senders there are and however often discovery has refused:
+// one that waits for as long when discovery comes back still hears of a drain before it binds.
+constexpr Duration kLongestWait = std::chrono::milliseconds(5000);
+constexpr int kMostTimes = 3;  // the first wait, after failures in a row
+// Versions older than ours: another discovery, to which we were moved, may lag behind. What still is older
+// after so long has begun to count anew; what it had at the move counts as told 4 s after it.
+constexpr Duration kBehind = std::chrono::milliseconds(4000);
+constexpr std::size_t kLongestList = 4 * 1024 * 1024, kMostReadAhead = 1024 * 1024;
+
+Duration FirstWait(int senders) {
+  return std::clamp<Duration>(kAgain * senders / kFewSenders, kAgain, kLongestWait);
+}
 
 }  // namespace
 
@@ -25,24 +43,29 @@
       revision_(known),
       news_(std::move(news)),
       log_(log),
-      back_off_(std::max(kAgain, kAgain * site.module.senders / kFewSenders), site.module.ask_every, seed),
+      stream_(kLongestList),
+      back_off_(FirstWait(site.module.senders),
+                std::min(kMostTimes * FirstWait(site.module.senders), kLongestWait), seed),
       silent_(loop, [this] { Lost("silent"); }),
-      again_(loop, [this] { Ask(); }) {
+      again_(loop, [this] { Ask(); }),
+      behind_(loop, [this] {
+        older_counts_ = true;
+        Lost("behind");
+      }) {
   Ask();
 }
 Watch::~Watch() = default;
 
 void Watch::Ask() {
-  partial_.clear();
-  connection_.reset(
-      evhttp_connection_base_new(loop_.base(), nullptr, discovery_.host.c_str(), discovery_.port));
-  evhttp_connection_set_retries(connection_.get(), 0);
-  evhttp_connection_set_timeout(connection_.get(), 24 * 3600);
+  stream_.Clear();
+  lost_ = false;
+  connection_ = OpenConnection(loop_, discovery_, kMostReadAhead, 0);
   evhttp_request* request = evhttp_request_new(Done, this);
+  evhttp_request_set_header_cb(request, Head);
   evhttp_request_set_chunked_cb(request, Chunk);
   evhttp_add_header(evhttp_request_get_output_headers(request), "Host", discovery_.host.c_str());
   // Guards against giving up what was about to be answered: discovery that serves many has a queue.
-  silent_.After(site_.module.list_on_request ? kSilent : kUnheard);
+  silent_.After(site_.module.list_on_request ? kUnheardAsked : kUnheard);
   const std::string target = "/v1/servers?watch=1&after=" + std::to_string(revision_);
   evhttp_make_request(connection_.get(), request, EVHTTP_REQ_GET, target.c_str());
 }
@@ -50,44 +73,75 @@
 void Watch::Move(const Address& discovery) {
   discovery_ = discovery;
   again_.Stop();
+  behind_.Stop();
+  older_counts_ = false;
   Ask();
 }
 
 void Watch::Lost(const char* how) {
+  if (std::exchange(lost_, true)) return;  // once for each connection
   log_.Warn("discovery.lost", {{"how", how}, {"revision", revision_}});
   silent_.Stop();
+  bufferevent_disable(evhttp_connection_get_bufferevent(connection_.get()), EV_READ);
   // Pushed lists come from an agent on this machine, at no cost. Discovery that hundreds of senders ask five
   // times a second each refuses nearly all of them for as long as they go on.
   again_.After(site_.module.list_on_request ? back_off_.Next() : kAgain);
 }
 
+int Watch::Head(evhttp_request* request, void* self) {
+  auto* w = static_cast<Watch*>(self);
+  // Where nothing has changed since the version held, the first line may be an empty one.
+  if (evhttp_request_get_response_code(request) == 200) w->Heard();
+  return 0;
+}
+
 void Watch::Chunk(evhttp_request* request, void* self) {
   auto* w = static_cast<Watch*>(self);
-  w->silent_.After(kSilent);
   evbuffer* in = evhttp_request_get_input_buffer(request);
   std::string text(evbuffer_get_length(in), '\0');
   evbuffer_remove(in, text.data(), text.size());
-  w->partial_ += text;
-  std::size_t at = 0;
-  for (std::size_t end; (end = w->partial_.find('\n', at)) != std::string::npos; at = end + 1) {
-    w->Line(w->partial_.substr(at, end - at));
-  }
-  w->partial_.erase(0, at);
-  if (w->partial_.size() > kLongestLine) w->partial_.clear();
+  // The text of a refusal is no list.
+  if (w->lost_ || evhttp_request_get_response_code(request) != 200) return;
+  const bool whole = w->stream_.Add(
+      text,
+      [w](const std::string& list) {
+        if (!w->lost_) w->List(list);
+      },
+      [w] { w->Heard(); });
+  if (whole || w->lost_) return;
+  w->log_.Warn("discovery.unreadable", {{"why", "no list of endpoints"}});
+  w->Lost("unreadable");
 }
 
-void Watch::Line(const std::string& line) {
-  if (line.find_first_not_of(" \r\t") == std::string::npos) return;
-  try {  // guards against a line that can't be read: one log line, and the list stays as it was
+void Watch::Heard() {
+  if (!lost_) silent_.After(kSilent);
+}
+
+// Guards against a list that can't be read: one log line, and the list stays as it was. What it held counts
+// as told all the same, so the watch is asked for anew after the version held.
+void Watch::List(const std::string& text) {
+  ListNews news;
+  try {
     json::Value value;
-    if (parser_.parse(line).get(value) != simdjson::SUCCESS) json::Malformed("no JSON");
-    const ListNews news = ReadList(value, site_);
-    revision_ = news.revision;
-    back_off_.Succeeded();
-    news_(news);
+    if (parser_.parse(text).get(value) != simdjson::SUCCESS) json::Malformed("no JSON");
+    news = ReadList(value, site_);
   } catch (const std::exception& e) {
     log_.Warn("discovery.unreadable", {{"why", e.what()}});
+    return Lost("unreadable");
+  }
+  Heard();
+  if (news.revision < revision_ && !older_counts_) {
+    // It would bring back what has been told to drain. Its changes up to ours come here by themselves, or
+    // never.
+    if (behind_.pending()) return;
+    log_.Warn("discovery.behind", {{"revision", news.revision}, {"held", revision_}});
+    return behind_.After(kBehind);
   }
+  behind_.Stop();
+  older_counts_ = false;
+  revision_ = news.revision;
+  back_off_.Succeeded();
+  news_(news);
 }
 
 void Watch::Done(evhttp_request* request, void* self) {
--- a/src/net/watch.h
+++ b/src/net/watch.h
@@ -1,4 +1,6 @@
-// The watch on discovery's list of endpoints: always on, resumed after the last version heard.
+// The watch on discovery's list of endpoints: always on, resumed after the last version heard. Whatever
+// becomes of a call, what discovery has and could be asked for is heard before it binds: a change counts as
+// told 6 s later, and a drain then leaves a grace of its own.
 #ifndef SAGETALLY_SRC_NET_WATCH_H_
 #define SAGETALLY_SRC_NET_WATCH_H_
 
@@ -7,6 +9,7 @@
 
 #include "clock/back_off.h"
 #include "config/config.h"
+#include "config/json_stream.h"
 #include "log/log.h"
 #include "net/loop.h"
 
@@ -26,7 +29,9 @@
  private:
   void Ask();
   void Lost(const char* how);
-  void Line(const std::string& line);
+  void List(const std::string& text);
+  void Heard();  // a whole line: the watch is alive
+  static int Head(evhttp_request* request, void* self);
   static void Chunk(evhttp_request* request, void* self);
   static void Done(evhttp_request* request, void* self);
 
@@ -37,10 +42,12 @@
   std::function<void(const ListNews&)> news_;
   Logger& log_;
   simdjson::dom::parser parser_;
-  std::string partial_;
+  JsonStream stream_;
   ConnectionPtr connection_;
+  bool lost_ = false;          // what this connection still brings is nobody's
+  bool older_counts_ = false;  // discovery has begun to count its versions anew
   BackOff back_off_;
-  Timer silent_, again_;
+  Timer silent_, again_, behind_;
 };
 
 }  // namespace sagetally
