A call that is given up is listened to for a round trip: its answer may be on its way

A time-out or a cancel closed the connection at once. An answer written just before that was lost, and with it a told wait (which counts from when it is written) or a delivery. PROTOCOL lets a dispatcher end its sending instead: the pool does that and reads on for as long as the connection took to come up, 10 to 100 ms, before it reports. Likewise an answer that comes before a call's last byte has left is heard, as far as it turns the call away, and the rest of the call is not written any more.

Found by reading; pool_crossings forces both orders (answer in the socket, answer written when the end is heard).

--- a/src/net/endpoint_pool.cpp
+++ b/src/net/endpoint_pool.cpp
@@ -23,6 +23,9 @@
 // After a call is given up, its connection's end must reach the endpoint before its slot or the message is
 // used again: else the next call counts as one too many, or as a second copy.
 constexpr Duration kCloseSettles = std::chrono::milliseconds(10);
+// An answer that was on its way then is still heard: for a round trip, as long as the connection took to come
+// up.
+constexpr Duration kLongestListen = std::chrono::milliseconds(100);
 // Idle connections go this much before the endpoint's machine may close them.
 constexpr Duration kIdleMargin = std::chrono::milliseconds(1000);
 // An answer is whole so soon after its first byte, or spoilt.
@@ -104,7 +107,8 @@
         address_(endpoint.text),
         buffers_(bufferevent_socket_new(pool.loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE)),
         connect_(pool.loop_, [this] { End(Outcome::kConnectFailed); }),
-        time_out_(pool.loop_, [this] { End(Written() ? Outcome::kTimeout : Outcome::kConnectFailed); }),
+        time_out_(pool.loop_, [this] { GiveUp(Outcome::kTimeout); }),
+        listen_(pool.loop_, [this] { End(*given_up_); }),
         answer_(pool.loop_, [this] { Spoilt(); }),
         idle_(pool.loop_, [this] { pool_.Drop(*this); }),
         late_(pool.loop_, [this] {
@@ -117,6 +121,7 @@
     to.sin_family = AF_INET;
     to.sin_port = htons(endpoint.address.port);
     inet_pton(AF_INET, endpoint.address.host.c_str(), &to.sin_addr);
+    opened_ = std::chrono::steady_clock::now();
     connect_.After(pool_.limits_.connect_timeout);
     if (bufferevent_socket_connect(buffers_.get(), reinterpret_cast<sockaddr*>(&to), sizeof to) != 0) {
       connect_.After(Duration(0));
@@ -160,17 +165,27 @@
     return connected_ && unwritten_.empty() &&
            evbuffer_get_length(bufferevent_get_output(buffers_.get())) == 0;
   }
+  // Ends our sending, and listens on for a moment: the endpoint may have answered already, with a wait that
+  // binds.
+  void GiveUp(Outcome outcome) {
+    if (given_up_) return;
+    if (!Written()) return End(Outcome::kConnectFailed);
+    given_up_ = outcome;
+    time_out_.Stop();
+    ::shutdown(bufferevent_getfd(buffers_.get()), SHUT_WR);
+    listen_.After(std::clamp(round_trip_, kCloseSettles, kLongestListen));
+  }
   void End(Outcome outcome) {  // without a whole answer
     CallResult result;
     // A first line with 200 is true, whatever became of the rest.
-    result.outcome = says_ok_ ? Outcome::kOk : outcome;
-    Over(result, false, true);
+    result.outcome = says_ok_ ? Outcome::kOk : given_up_.value_or(outcome);
+    Over(result, false, !given_up_);
   }
   void Leave() {
     busy_ = false;
     bufferevent_disable(buffers_.get(), EV_READ | EV_WRITE);  // libevent may still be amid it
     buffers_.reset();
-    for (Timer* timer : {&connect_, &time_out_, &answer_, &idle_, &late_}) timer->Stop();
+    for (Timer* timer : {&connect_, &time_out_, &listen_, &answer_, &idle_, &late_}) timer->Stop();
   }
 
  private:
@@ -212,6 +227,7 @@
     answer_.Stop();
     connect_.Stop();
     late_.Stop();
+    listen_.Stop();
     if (early_ && result.outcome != Outcome::kFull) result.outcome = Outcome::kConnectFailed;
     result.number = number_;
     pool_.Finish(*this, result, reusable, settle);
@@ -222,8 +238,10 @@
   void Read() {
     if (!busy_) return pool_.Drop(*this);  // what comes unasked is nobody's answer
     if (!connected_) return;               // read once the loop has told of the connect
-    // Nor is what comes before the call's last byte has left: it has not run, and never will.
-    if (!Written() && !early_) return End(Outcome::kConnectFailed);
+    if (!Written()) {
+      early_ = true;
+      bufferevent_disable(buffers_.get(), EV_WRITE);
+    }
     while (evbuffer_get_length(Input()) > 0) {
       if (!answer_.pending()) answer_.After(kWholeAnswer);
       if (!parser_) {
@@ -268,7 +286,7 @@
   void Answered() {
     const CallResult result = ReadAnswer(parser_->get());
     placed_ = placed_ || parser_->get().result_int() != 503;
-    Over(result, parser_->keep_alive() && placed_ && !early_, false);
+    Over(result, parser_->keep_alive() && placed_ && !early_ && !given_up_, false);
   }
 
   static void Readable(bufferevent*, void* self) { static_cast<Connection*>(self)->Read(); }
@@ -278,10 +296,10 @@
     if ((what & BEV_EVENT_CONNECTED) != 0) {
       c->connected_ = true;
       c->connect_.Stop();
+      c->round_trip_ = std::chrono::ceil<Duration>(std::chrono::steady_clock::now() - c->opened_);
       const int on = 1;
       ::setsockopt(bufferevent_getfd(c->buffers_.get()), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
       if (!c->busy_) return;
-      // What was sent before the call can only turn it away: then it need not leave.
       c->early_ = !c->Silent();
       if (!c->early_) {
         c->Write();
@@ -303,17 +321,21 @@
   Endpoint& endpoint_;
   const std::string address_;
   std::unique_ptr<bufferevent, Free<bufferevent_free>> buffers_;
-  Timer connect_, time_out_, answer_, idle_, late_;
+  Timer connect_, time_out_, listen_, answer_, idle_, late_;
   std::optional<Parser> parser_;
   std::uint64_t number_ = 0;
   bool busy_ = false, connected_ = false, counted_ = false;
   bool says_ok_ = false;  // the first line of the answer that is coming
   // It may have no place in the endpoint's table, and be refused for ever, until it brought another answer.
   bool placed_ = false;
-  bool early_ = false;  // the endpoint spoke before the call was written, which it never is then
+  // The endpoint spoke before the call's last byte had left, and it never does then: it has not run. What was
+  // said can only have turned it away.
+  bool early_ = false;
+  std::optional<Outcome> given_up_;  // as this, unless its answer is still heard
   int interim_ = 0;
+  Duration round_trip_{0};
   std::string unwritten_;  // of the call, while the connection comes up
-  std::chrono::steady_clock::time_point write_until_, rested_;
+  std::chrono::steady_clock::time_point opened_, write_until_, rested_;
 };
 
 EndpointPool::EndpointPool(Loop& loop, Limits limits, std::function<void(const CallResult&)> back)
@@ -408,7 +430,7 @@
 
 void EndpointPool::Cancel(std::uint64_t number) {
   const auto at = calls_.find(number);
-  if (at != calls_.end()) at->second->End(Outcome::kCancelled);
+  if (at != calls_.end()) at->second->GiveUp(Outcome::kCancelled);
 }
 
 void EndpointPool::Recall(std::uint64_t number) {
