Clients' connections end in order: nothing that has come is reset, no answer is closed upon

Connections that pass to another process are left as they are. Held: requests unread in the socket at SIGTERM, bytes behind a last request, clients that go as they are answered.

--- a/src/app/dispatcher.cpp
+++ b/src/app/dispatcher.cpp
@@ -1,5 +1,6 @@
 #include "app/dispatcher.h"
 
+#include <algorithm>
 #include <stdexcept>
 
 #include "handover/rehearsal.h"
@@ -12,6 +13,8 @@
 
 // After SIGTERM new connections come for 0.4 s at most, and SIGKILL after 3.7 s at the soonest.
 constexpr Duration kListenOn = milliseconds(600);
+// Who has connected by then asks at once, or has gone after a client's patience.
+constexpr Duration kFirstWords = milliseconds(400);
 constexpr Duration kLongestStop = milliseconds(3300);
 
 // Once another process has taken over: until its calls that are out have come back, and then for the last
@@ -42,8 +45,14 @@
                  server->StopListening();
                  server->CloseBetweenRequests();
                }
+               close_mute_.After(kFirstWords);
                EndIfDone();
              }),
+      close_mute_(loop_,
+                  [this] {
+                    for (Server* server : Servers()) server->CloseBetweenRequests(true);
+                    EndIfDone();
+                  }),
       end_(loop_, [this] { loop_.Break(); }),
       close_idle_(loop_,
                   [this] {
@@ -352,7 +361,10 @@
   successor_.reset();  // a process that starts now waits for this one's end
   if (kept_) kept_->Stop();
   chain_.route.Add(Stopping{kLongestStop - milliseconds(100)});
-  for (Server* server : Servers()) server->CloseBetweenRequests();
+  for (Server* server : Servers()) {
+    server->on_closed = [this] { EndIfDone(); };
+    server->CloseBetweenRequests();
+  }
   if (eureka_) eureka_->Cancel([] {});
   close_.After(kListenOn);
   end_.After(kLongestStop);
@@ -385,7 +397,10 @@
     return;
   }
   const bool told = notices_.idle() && (!results_ || results_->idle());
-  if (!close_.pending() && ledger_.held() == 0 && told) end_.After(milliseconds(20));
+  // A request that has come is answered, and an answer read, as far as the time goes.
+  const bool clients = std::ranges::any_of(Servers(), [](const Server* s) { return s->connections() > 0; });
+  const bool listening = close_.pending() || close_mute_.pending();
+  if (!listening && !clients && ledger_.held() == 0 && told) end_.After(milliseconds(20));
 }
 
 }  // namespace sagetally
--- a/src/app/dispatcher.h
+++ b/src/app/dispatcher.h
@@ -82,7 +82,7 @@
   Fd door_socket_;                            // opened before anything is taken over
   std::unique_ptr<Predecessor> predecessor_;  // null: there was none to take over from
   SystemClock clock_;
-  Timer step_, wake_, close_, end_, close_idle_;
+  Timer step_, wake_, close_, close_mute_, end_, close_idle_;
   Readiness readiness_;
   Figures figures_;
   Ledger ledger_;
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -72,7 +72,7 @@
   ServerConnection(Server& server, evutil_socket_t fd, const Server::Passed* passed = nullptr)
       : server_(server),
         buffers_(bufferevent_socket_new(server.loop_.base(), fd, BEV_OPT_CLOSE_ON_FREE)),
-        timer_(server.loop_, [this] { server_.Close(*this); }) {
+        timer_(server.loop_, [this] { TimedOut(); }) {
     bufferevent_setcb(buffers_.get(), Readable, Written, Happened, this);
     // Bounds what is read while a request is answered, or a line of it has no end.
     bufferevent_setwatermark(buffers_.get(), EV_READ, 0, Most());
@@ -80,15 +80,32 @@
     timer_.After(kFirstRequest);
     if (passed != nullptr) Resume(*passed);
   }
-  ~ServerConnection() { Leave(); }
+  ~ServerConnection() { Leave(Server::Ending::kClosed); }
   ServerConnection(const ServerConnection&) = delete;
   ServerConnection& operator=(const ServerConnection&) = delete;
 
-  void Leave() {  // closes; what is open can't be answered any more
+  void Leave(Server::Ending ending) {  // closes; what is open can't be answered any more
     if (const auto exchange = open()) exchange->client_ = nullptr;
+    // Guards the last answer: a close over unread bytes is a reset, and takes what is still on its way with
+    // it.
+    char bytes[4096];
+    for (std::size_t all = 0; buffers_ && ending == Server::Ending::kClosed && all < kMostLinger;) {
+      const ssize_t n = ::recv(bufferevent_getfd(buffers_.get()), bytes, sizeof bytes, MSG_DONTWAIT);
+      if (n <= 0) break;
+      all += static_cast<std::size_t>(n);
+    }
     buffers_.reset();
     timer_.Stop();
   }
+  // Between requests: ends our side, and reads away for a moment what crosses that. The client has its
+  // request unread and sends it again; one that has come already is answered first. False: there is one.
+  bool Retire() {
+    if (unread()) return false;
+    CloseOnceWritten();
+    const bool written = evbuffer_get_length(bufferevent_get_output(buffers_.get())) == 0;
+    if (written) ::shutdown(bufferevent_getfd(buffers_.get()), SHUT_WR);
+    return true;
+  }
   void Answer(int code, const std::string& body, const Exchange::Headers& headers) {
     const bool last = server_.closing_ || !keep_ || ended_;
     std::string text = "HTTP/1.1 " + std::to_string(code) + " " + ReasonPhrase(code) + "\r\n";
@@ -125,8 +142,8 @@
     evbuffer_copyout(input(), passing.bytes.data() + begun_.size(), size);
     return passing;
   }
-  bool idle() const { return asked_ && !parser_ && !open(); }
-  bool mute() const { return !asked_ && !parser_; }
+  bool idle() const { return asked_ && !refused_ && !parser_ && !open(); }
+  bool mute() const { return !asked_ && !refused_ && !parser_; }
   std::chrono::steady_clock::time_point heard() const { return heard_; }  // its last bytes
 
  private:
@@ -220,6 +237,13 @@
     Read();
   }
 
+  void TimedOut() {
+    if (refused_) return server_.Close(*this);
+    if (parser_) return Refuse(408);  // half a request
+    if (Retire()) return;
+    timer_.After(kNextRequest);  // it is read in this round
+    if (Unparsed()) bufferevent_trigger(buffers_.get(), EV_READ, BEV_OPT_DEFER_CALLBACKS);
+  }
   void CloseOnceWritten() {
     refused_ = true;  // nothing more is read
     timer_.After(kLinger);
@@ -340,23 +364,21 @@
   return least != nullptr;
 }
 
-void Server::Close(ServerConnection& client) {
+void Server::Close(ServerConnection& client, Ending ending) {
   const auto at = clients_.find(&client);
   if (at == clients_.end()) return;
-  client.Leave();
+  client.Leave(ending);
   closed_.push_back(std::move(at->second));
   clients_.erase(at);
   sweep_.After(Duration(0));
+  if (on_closed) on_closed();
 }
 
-void Server::CloseBetweenRequests() {
+void Server::CloseBetweenRequests(bool mute_too) {
   closing_ = true;
-  std::vector<ServerConnection*> idle;
   for (const auto& [client, owned] : clients_) {
-    const bool unused = client->idle() || (client->mute() && !listener_);
-    if (unused && !client->unread()) idle.push_back(client);
+    if (client->idle() || (mute_too && client->mute())) client->Retire();
   }
-  for (ServerConnection* client : idle) Close(*client);
 }
 
 bool Server::Settled() const {
@@ -378,7 +400,7 @@
   for (const auto& [client, owned] : clients_) {
     if (client->passable()) gone.push_back(client);
   }
-  for (ServerConnection* client : gone) Close(*client);
+  for (ServerConnection* client : gone) Close(*client, Ending::kPassed);
 }
 
 void Server::Adopt(Passed passed) {
@@ -387,6 +409,16 @@
   clients_[client.get()] = std::move(client);
 }
 
-void Server::StopListening() { listener_.reset(); }
+// Who stands in the queue has connected, and may have asked: a listener that closes would reset them.
+void Server::StopListening() {
+  if (!listener_) return;
+  evconnlistener_disable(listener_.get());
+  while (true) {
+    const int fd = ::accept4(listener(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (fd < 0) break;
+    Accepted(listener_.get(), fd, nullptr, 0, this);
+  }
+  listener_.reset();
+}
 
 }  // namespace sagetally
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -77,11 +77,13 @@
 
   std::uint16_t port() const { return port_; }
   std::size_t connections() const { return clients_.size(); }
-  // Every answer from now on ends its connection, and idle connections are closed.
-  void CloseBetweenRequests();
+  // Every answer from now on ends its connection, and idle connections are closed; `mute_too`: also those
+  // that have never asked.
+  void CloseBetweenRequests(bool mute_too = false);
   // Every answer from now on ends its connection, or no longer does.
   void SetClosing(bool closing) { closing_ = closing; }
   void StopListening();
+  std::function<void()> on_closed;  // after each connection; may be empty
   int listener() const { return listener_ ? evconnlistener_get_fd(listener_.get()) : -1; }
   // No answer is owed to a client, or still to be written.
   bool Settled() const;
@@ -96,7 +98,8 @@
   static void Accepted(evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self);
   static void NotAccepted(evconnlistener*, void* self);
   bool MakeRoom();
-  void Close(ServerConnection& client);
+  enum class Ending { kClosed, kPassed };  // passed: another process reads and writes there now
+  void Close(ServerConnection& client, Ending ending = Ending::kClosed);
 
   Loop& loop_;
   const Limits limits_;
