--- a/src/brain/decide.cpp
+++ b/src/brain/decide.cpp
@@ -957,7 +957,8 @@
       GoCold(p, confirm);
     }
     // In an outage one more hard failure is enough: a success, or a probe's, amid failures is no recovery.
-    if (confirm || (p.failures < 2 && p.doubt < (p.outage ? kDoubtHard : kOut))) return;
+    const bool single = p.failures < 2 && lane.unconnected < 2;  // of all that share the limit
+    if (confirm || (single && p.doubt < (p.outage ? kDoubtHard : kOut))) return;
     CutPace(lane, sent);  // most calls fail
     NoteOutage(p, "fails");
   }
@@ -1013,8 +1014,7 @@
     double share = lane.usual + 1 / std::max(0.1, Seconds(now_ - *lane.cold_since + s_.tip_after));
     share = std::max(share, Even(lane));
     if (lane.told_rate > 0) share = std::min(share, lane.told_rate);
-    // Where few senders have seen the failure the others' calls outweigh theirs, and they may go on more.
-    // That others like this one have not is likely while no second message waits here.
+    // While no second message waits here few senders may have seen it, and the others' calls outweigh theirs.
     const double unseen = kUnseen * std::exp(1.0 - std::max(1, At(p.destination).waiting));
     const double rate = kBudgetUsed * std::max(present * s_.fall_multiple, unseen) * share;
     lane.credit = std::min(1.0, lane.credit + rate * Seconds(now_ - lane.credit_at));
--- /dev/null
+++ b/tests/node/restart_test.cpp
@@ -0,0 +1,106 @@
+// What a restart finds: untried messages are tried, what may have run is sent again only as its class allows,
+// and a second kill amid that changes nothing.
+#include "world.h"
+
+namespace sagetally {
+namespace {
+
+// A full house of untried messages, killed again as soon as it is back: each is called once, none is given
+// up.
+void WhatAReplayFindsUntriedIsTried() {
+  for (const bool killed_again : {false, true}) {
+    World w(2, 3, 50);
+    for (auto& endpoint : w.endpoints) endpoint->otherwise = 0;
+    w.Start();
+    const char* const classes[] = {"aviso", "pedido", "pagamento"};
+    std::vector<std::string> ids;
+    while (w.Calls() < 3) {  // the slots are taken by calls that are never answered
+      const std::string id = "out" + std::to_string(w.asks.size());
+      assert(w.Code(w.Post("aviso", id)) == 202);
+      Until(w.loop, [&] { return w.CallsOf(id) == 1; });
+    }
+    for (int i = 0; i < 40; ++i) {
+      ids.push_back("m" + std::to_string(i));
+      assert(w.Code(w.Post(classes[i % 3], ids.back())) == 202);
+    }
+    assert(w.Calls() == 3);
+    w.Kill();
+    if (killed_again) {
+      w.Start();
+      w.Kill();  // before the loop has turned: nothing was sent
+    }
+    for (auto& endpoint : w.endpoints) endpoint->Release();
+    w.Start();
+    Until(w.loop,
+          [&] { return std::ranges::all_of(ids, [&](const auto& id) { return w.CallsOf(id) == 1; }); });
+    assert(w.agent.notices.empty());
+    w.dispatcher->Stop();
+    event_base_dispatch(w.loop.base());  // until nothing is held
+    w.Kill();
+    const std::size_t calls = w.Calls();
+    w.Start();  // all has ended
+    assert(w.Code(w.Post("aviso", "fresh")) == 202);
+    Until(w.loop, [&] { return w.CallsOf("fresh") == 1; });
+    assert(w.Calls() == calls + 1);
+  }
+}
+
+// The window counts from the first attempt on record, over the restart: inside of it a keyed message that was
+// out goes again, outside it is told as undeliverable and leaves no byte.
+void TheRepeatWindowOutlivesTheProcess() {
+  for (const bool over : {false, true}) {
+    World w;
+    w.repeat_window_ms = over ? 200 : 9000;
+    w.endpoints[0]->otherwise = 0;
+    w.Start();
+    assert(w.Code(w.Post("pedido", "out")) == 202);
+    Until(w.loop, [&] { return w.CallsOf("out") == 1; });
+    w.Kill();
+    w.endpoints[0]->Release();
+    const auto down = std::chrono::steady_clock::now();
+    Until(w.loop, [&] { return std::chrono::steady_clock::now() > down + 210ms; });  // the window's own time
+    w.Start();
+    Until(w.loop, [&] { return w.CallsOf("out") == 2 || w.agent.Told("\"out\""); });
+    assert(w.CallsOf("out") == (over ? 1 : 2) && w.agent.Told("\"out\"") == over);
+  }
+}
+
+// Idle clients hold all descriptors that clients may have, and discovery is down. When it is back it is
+// reached, an endpoint is dialled anew for every message, and the journal opens its next segments.
+void IdleClientsLeaveDescriptorsForAllElse() {
+  World w(1, 8, 50);
+  w.sockets = 64;
+  w.disk_mb = 1;
+  w.agent.how.silent = true;
+  w.Start();
+  std::vector<std::unique_ptr<RawClient>> crowd;
+  for (int i = 0; i < 80; ++i) {
+    crowd.push_back(std::make_unique<RawClient>(w.loop, w.dispatcher->port(),
+                                                i % 2 == 0 ? "" : "GET /healthz HTTP/1.1\r\n\r\n"));
+  }
+  // A third of them, less four of the front for events.
+  Until(w.loop, [&] { return w.dispatcher->clients() == 64 / 3 - 4; });
+  w.agent.how.silent = false;
+  Until(w.loop, [&] { return w.agent.watch != nullptr; });
+  const std::string body(30000, 'b');
+  std::set<std::string> segments;
+  for (int i = 0; i < 60; ++i) {  // each needs a new segment, or nearly so
+    assert(w.Code(w.Post("aviso", "m" + std::to_string(i), body)) == 202);
+    for (const auto& file : std::filesystem::recursive_directory_iterator(w.folder.path)) {
+      segments.insert(file.path().filename());
+    }
+  }
+  Until(w.loop, [&] { return w.Calls() == 60; });
+  assert(segments.size() > 10 && w.dispatcher->clients() <= 64 / 3 - 4);
+}
+
+}  // namespace
+}  // namespace sagetally
+
+int main() {
+  using namespace sagetally;
+  WhatAReplayFindsUntriedIsTried();
+  TheRepeatWindowOutlivesTheProcess();
+  IdleClientsLeaveDescriptorsForAllElse();
+  std::puts("3 passed, 0 failed");
+}
