What is answered after a call was given up is no delivery, only its wait is heard

The other side may have given the call up as well (PROTOCOL: ending the sending gives it up) and counts no delivery then: the message was over for us alone, and its end never told.

Now the outcome stays the one that the call was given up with, and only a wait is taken over; a first line with 200 that was read before stands.

--- a/src/net/endpoint_pool.cpp
+++ b/src/net/endpoint_pool.cpp
@@ -170,6 +170,7 @@
   void GiveUp(Outcome outcome) {
     if (given_up_) return;
     if (!Written()) return End(Outcome::kConnectFailed);
+    if (says_ok_) return End(outcome);  // delivered before
     given_up_ = outcome;
     time_out_.Stop();
     ::shutdown(bufferevent_getfd(buffers_.get()), SHUT_WR);
@@ -178,7 +179,7 @@
   void End(Outcome outcome) {  // without a whole answer
     CallResult result;
     // A first line with 200 is true, whatever became of the rest.
-    result.outcome = says_ok_ ? Outcome::kOk : given_up_.value_or(outcome);
+    result.outcome = says_ok_ ? Outcome::kOk : outcome;
     Over(result, false, !given_up_);
   }
   void Leave() {
@@ -229,6 +230,9 @@
     late_.Stop();
     listen_.Stop();
     if (early_ && result.outcome != Outcome::kFull) result.outcome = Outcome::kConnectFailed;
+    // Guards a message that is over for us alone: what is answered after a call was given up may count for
+    // nothing at the other side. Only its wait is heard.
+    if (given_up_) result.outcome = *given_up_;
     result.number = number_;
     pool_.Finish(*this, result, reusable, settle);
   }
@@ -331,7 +335,7 @@
   // The endpoint spoke before the call's last byte had left, and it never does then: it has not run. What was
   // said can only have turned it away.
   bool early_ = false;
-  std::optional<Outcome> given_up_;  // as this, unless its answer is still heard
+  std::optional<Outcome> given_up_;  // as this; a wait in its answer is still heard
   int interim_ = 0;
   Duration round_trip_{0};
   std::string unwritten_;  // of the call, while the connection comes up
