--- a/src/brain/decide.cpp
+++ b/src/brain/decide.cpp
@@ -957,8 +957,8 @@
       GoCold(p, confirm);
     }
     // In an outage one more hard failure is enough: a success, or a probe's, amid failures is no recovery.
-    const bool single = p.failures < 2 && lane.unconnected < 2;  // of all that share the limit
-    if (confirm || (single && p.doubt < (p.outage ? kDoubtHard : kOut))) return;
+    if (!confirm && lane.unconnected > 1) lane.outage = true, lane.recovered.reset();  // of all that share it
+    if (confirm || (p.failures < 2 && p.doubt < (p.outage ? kDoubtHard : kOut))) return;
     CutPace(lane, sent);  // most calls fail
     NoteOutage(p, "fails");
   }
