A request that was read gets its whole response: evictions, errors that pass, ends of input

Change: MakeCapacity passes over connections with unwritten responses or unread bytes and answers half a request with 503; TransferResumer goes on after ENOBUFS, ENOMEM and the like, for clients, endpoints and the control socket; an end of input is handled after the requests before it; pipelined requests that were read are answered through a shutdown; the last response is waited for (3 s) while it is unwritten; StopListening survives errors of accept; a connection to an endpoint is tried again where this machine lacked something for a moment; the handover channel and the wake-up survive such errors; the shutdown sequence can't end the process between two listeners.

--- a/src/app/shutdown_sequence.cpp
+++ b/src/app/shutdown_sequence.cpp
@@ -41,8 +41,8 @@
 }
 
 void ShutdownSequence::StopListening() {
+  close_unused_timer_.Schedule(kFirstRequestTimeout);  // first: a connection that closes may end the process
   servers_.StopListening();
-  close_unused_timer_.Schedule(kFirstRequestTimeout);
   ExitIfDone();
 }
 
--- a/src/net/control_server.cpp
+++ b/src/net/control_server.cpp
@@ -12,6 +12,7 @@
 
 #include "base/file_descriptor.h"
 #include "net/listen_error.h"
+#include "net/transfer_resumer.h"
 #include "net/unix_socket.h"
 
 namespace sagetally {
@@ -24,6 +25,7 @@
 struct ControlServer::Client {
   ControlServer* server = nullptr;  // null once it is closed
   BufferEventPtr buffers;
+  std::unique_ptr<TransferResumer> resumer;
   bool awaits_answer = false;
 };
 
@@ -57,6 +59,7 @@
   // A responder may still hold a client.
   for (const auto& [client, owned] : clients_) {
     client->server = nullptr;
+    client->resumer->Stop();
     client->buffers.reset();
   }
   ::unlink(path_.c_str());
@@ -72,6 +75,7 @@
   client->server = server;
   client->buffers.reset(bufferevent_socket_new(server->loop_.base(), socket, BEV_OPT_CLOSE_ON_FREE));
   bufferevent* buffers = client->buffers.get();
+  client->resumer = std::make_unique<TransferResumer>(server->loop_, buffers);
   bufferevent_setcb(buffers, OnReadable, nullptr, OnEvent, client.get());
   bufferevent_setwatermark(buffers, EV_READ, 0, server->max_request_bytes_ + 1);
   bufferevent_set_timeouts(buffers, &kIdleTimeout, &kIdleTimeout);
@@ -81,12 +85,15 @@
 
 void ControlServer::Close(Client& client) {
   client.server = nullptr;
+  client.resumer->Stop();
   client.buffers.reset();
   clients_.erase(&client);
 }
 
 void ControlServer::OnEvent(bufferevent*, short events, void* argument) {
+  const int error_number = EVUTIL_SOCKET_ERROR();
   auto* client = static_cast<Client*>(argument);
+  if (client->resumer->ResumesAfter(events, error_number)) return;
   // A client that waits for an answer sends nothing meanwhile, however long the answer takes.
   if ((events & BEV_EVENT_TIMEOUT) != 0 && client->awaits_answer) {
     bufferevent_enable(client->buffers.get(), EV_READ);
--- a/src/net/endpoint_connection.cpp
+++ b/src/net/endpoint_connection.cpp
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "net/endpoint_call_codec.h"
+#include "net/socket_error.h"
 
 namespace sagetally {
 namespace {
@@ -20,7 +21,8 @@
 constexpr Duration kIdleMargin = std::chrono::milliseconds(1000);
 constexpr unsigned kServiceUnavailable = 503;
 
-bool WouldBlock(int error_number) { return error_number == EAGAIN || error_number == EWOULDBLOCK; }
+// So often this machine's own shortages may keep a connection from being opened; the pause doubles each time.
+constexpr int kMaxConnectTries = 6;
 
 }  // namespace
 
@@ -31,7 +33,9 @@
       timeouts_(timeouts),
       address_text_(endpoint.address_text),
       buffers_(bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE)),
+      resumer_(loop, buffers_.get()),
       connect_timer_(loop, [this] { FinishWithoutResponse(Outcome::kConnectFailed); }),
+      connect_again_timer_(loop, [this] { Connect(); }),
       call_timer_(loop, [this] { AbandonCall(Outcome::kTimeout); }),
       listen_timer_(loop, [this] { FinishWithoutResponse(*abandoned_as_); }),
       idle_timer_(loop, [this] { owner_.OnUnusable(*this); }),
@@ -42,9 +46,19 @@
   bufferevent_enable(buffers_.get(), EV_READ | EV_WRITE);
   opened_at_ = std::chrono::steady_clock::now();
   connect_timer_.Schedule(timeouts_.connect);
-  const sockaddr_in& address = endpoint.address;
+  Connect();
+}
+
+// What this machine lacks for a moment says nothing about the endpoint.
+void EndpointConnection::Connect() {
+  const sockaddr_in& address = endpoint_.address;
   if (bufferevent_socket_connect(buffers_.get(), reinterpret_cast<const sockaddr*>(&address),
-                                 sizeof address) != 0) {
+                                 sizeof address) == 0) {
+    return;
+  }
+  if (IsTransientConnectError(errno) && ++connect_tries_ < kMaxConnectTries) {
+    connect_again_timer_.Schedule(kSocketRetryDelay * (1 << connect_tries_));
+  } else {
     connect_timer_.Schedule(Duration(0));
   }
 }
@@ -61,7 +75,7 @@
 bool EndpointConnection::NothingReceived() const {
   char byte = 0;
   return evbuffer_get_length(input()) == 0 && ::recv(socket(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
-         WouldBlock(errno);
+         IsTransientSocketError(errno);
 }
 
 void EndpointConnection::StartCall(const CallRequest& call) {
@@ -106,9 +120,11 @@
 void EndpointConnection::Close() {
   has_call_ = false;
   bufferevent_disable(buffers_.get(), EV_READ | EV_WRITE);  // libevent may be in one of its callbacks
+  resumer_.Stop();
   buffers_.reset();
   reader_.Stop();
-  for (Timer* timer : {&connect_timer_, &call_timer_, &listen_timer_, &idle_timer_, &write_timer_}) {
+  for (Timer* timer :
+       {&connect_timer_, &connect_again_timer_, &call_timer_, &listen_timer_, &idle_timer_, &write_timer_}) {
     timer->Stop();
   }
 }
@@ -119,7 +135,7 @@
   if (std::chrono::steady_clock::now() >= write_deadline_) return FinishWithoutResponse(Outcome::kNotSent);
   const std::string text = std::exchange(unsent_call_, {});
   const ssize_t sent = ::send(socket(), text.data(), text.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
-  if (sent < 0 && !WouldBlock(errno) && errno != EINTR) {
+  if (sent < 0 && !IsTransientSocketError(errno)) {
     unsent_call_ = text;
     return FinishWithoutResponse(Outcome::kConnectFailed);
   }
@@ -161,6 +177,7 @@
   if (!is_connected_) return;                       // read once libevent has reported the connection
   if (!IsWritten()) {
     responded_early_ = true;
+    resumer_.KeepPaused(EV_WRITE);
     bufferevent_disable(buffers_.get(), EV_WRITE);
   }
   switch (reader_.Read(input())) {
@@ -191,8 +208,10 @@
 }
 
 void EndpointConnection::OnEvent(bufferevent*, short events, void* self) {
+  const int error_number = EVUTIL_SOCKET_ERROR();
   auto* connection = static_cast<EndpointConnection*>(self);
   if ((events & BEV_EVENT_CONNECTED) != 0) return connection->OnConnected();
+  if (connection->resumer_.ResumesAfter(events, error_number)) return;
   connection->OnClosedByPeer(events);
 }
 
--- a/src/net/endpoint_connection.h
+++ b/src/net/endpoint_connection.h
@@ -13,6 +13,7 @@
 #include "core/message.h"
 #include "net/event_loop.h"
 #include "net/response_reader.h"
+#include "net/transfer_resumer.h"
 
 namespace sagetally {
 
@@ -88,6 +89,7 @@
   static void OnReadable(bufferevent*, void* self);
   static void OnOutputDrained(bufferevent*, void* self);
   static void OnEvent(bufferevent*, short events, void* self);
+  void Connect();
   void OnConnected();
   void OnClosedByPeer(short events);
   void OnWriteDeadline();
@@ -107,13 +109,16 @@
   const Timeouts timeouts_;
   const std::string address_text_;  // where it was opened to
   BufferEventPtr buffers_;          // null once closed
+  TransferResumer resumer_;
   Timer connect_timer_;
+  Timer connect_again_timer_;
   Timer call_timer_;
   Timer listen_timer_;  // for a response after the call was abandoned
   Timer idle_timer_;
   Timer write_timer_;  // for the time in which the call may be written
   ResponseReader reader_;
   std::uint64_t message_number_ = 0;
+  int connect_tries_ = 0;
   bool has_call_ = false;
   bool is_connected_ = false;
   bool is_write_reported_ = false;
--- a/src/net/handover_channel.cpp
+++ b/src/net/handover_channel.cpp
@@ -11,10 +11,12 @@
 #include <cerrno>
 #include <chrono>
 #include <cstring>
+#include <thread>
 #include <utility>
 #include <vector>
 
 #include "net/listen_error.h"
+#include "net/socket_error.h"
 #include "net/unix_socket.h"
 
 namespace sagetally {
@@ -26,6 +28,7 @@
 constexpr std::size_t kMaxPacketBytes = 64 * 1024 * 1024;
 constexpr timeval kSendTimeout{0, 500'000};
 constexpr int kBacklog = 4;
+constexpr int kMaxSendTries = 20;  // of one part, over errors that pass
 
 // The socket's address by the folder's descriptor, as the folder's path may be longer than the 107 bytes of a
 // Unix socket's name.
@@ -109,11 +112,14 @@
   message.msg_iovlen = std::size(pieces);
   DescriptorMessage control;
   if (fd >= 0) AttachDescriptor(message, control, fd);
-  ssize_t sent = -1;
-  do {
-    sent = ::sendmsg(socket_.get(), &message, MSG_NOSIGNAL);
-  } while (sent < 0 && errno == EINTR);
-  return sent >= 0;
+  // EAGAIN is the end of kSendTimeout: the other process does not read.
+  for (int i = 0; i < kMaxSendTries; ++i) {
+    if (::sendmsg(socket_.get(), &message, MSG_NOSIGNAL) >= 0) return true;
+    const bool is_short_of_memory = errno == ENOBUFS || errno == ENOMEM;
+    if (errno != EINTR && !is_short_of_memory) return false;
+    if (is_short_of_memory) std::this_thread::sleep_for(kSocketRetryDelay);
+  }
+  return false;
 }
 
 // Appends the part that comes next, if one has come, to `packet`.
@@ -127,7 +133,7 @@
   message.msg_control = control.bytes;
   message.msg_controllen = sizeof control.bytes;
   const ssize_t size = ::recvmsg(socket_.get(), &message, MSG_CMSG_CLOEXEC | MSG_DONTWAIT);
-  if (size < 0 && (errno == EAGAIN || errno == EINTR)) return PartResult::kNothing;
+  if (size < 0 && IsTransientSocketError(errno)) return PartResult::kNothing;
   if (size >= 0) TakeDescriptor(message, packet.fd);
   const auto part_bytes = static_cast<std::size_t>(std::max<ssize_t>(size, 0));
   if (part_bytes < kPartHeadBytes || (message.msg_flags & MSG_TRUNC) != 0) return PartResult::kEnded;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -15,6 +15,7 @@
 #include "net/listen_error.h"
 #include "net/server_connection.h"
 #include "net/socket_address.h"
+#include "net/socket_error.h"
 
 namespace sagetally {
 namespace {
@@ -24,6 +25,9 @@
 constexpr auto kExpectedFirstBytes = std::chrono::milliseconds(100);
 // How long accepting pauses when no descriptor is free.
 constexpr Duration kAcceptPause = std::chrono::milliseconds(50);
+// The same while the queue of a listener that closes is emptied, and how often.
+constexpr Duration kQueuePause = std::chrono::milliseconds(10);
+constexpr int kMaxStopListeningTries = 35;
 constexpr unsigned kListenerFlags =
     LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE | LEV_OPT_REUSEABLE_PORT;
 
@@ -67,6 +71,7 @@
                           [this] {
                             if (listener_) evconnlistener_enable(listener_.get());
                           }),
+      stop_listening_timer_(loop, [this] { AcceptQueue(); }),
       closed_clients_(loop) {
   evconnlistener_set_error_cb(listener_.get(), OnAcceptFailed);
 }
@@ -98,6 +103,7 @@
   auto* server = static_cast<HttpServer*>(self);
   if (server->clients_.size() >= server->limits_.max_connections && !server->MakeCapacity()) {
     ::close(socket);
+    if (server->on_connection_refused) server->on_connection_refused();
     return;
   }
   const int enabled = 1;
@@ -116,31 +122,35 @@
   clients_[key] = std::move(client);
 }
 
-// Closes the connection that comes first by EvictionOrder. One whose request is being answered, or has come
-// and was not read yet, stays. False if all stay.
+// Closes the connection that comes first by EvictionOrder. One whose request is being answered, whose
+// response is not yet written, or from which bytes have come that were not read yet, stays. False if all
+// stay.
 bool HttpServer::MakeCapacity() {
   const auto now = std::chrono::steady_clock::now();
   ServerConnection* first = nullptr;
   EvictionOrder first_order;
   for (const auto& [client, owned] : clients_) {
-    if (client->open_exchange()) continue;
+    if (!client->IsSettled()) continue;
     const EvictionOrder order{EvictionRankOf(*client, now), client->last_received_at()};
     if (first != nullptr && !ComesBefore(order, first_order)) continue;
-    if ((client->IsAwaitingFirstRequest() || client->IsIdle()) && client->HasUnreadBytes()) continue;
+    if (client->HasUnreadBytes()) continue;
     first = client;
     first_order = order;
   }
   if (first == nullptr) return false;
-  Close(*first);
+  const bool is_in_request = first->RejectPartialRequest();
+  Close(*first, is_in_request ? CloseReason::kEvictedInRequest : CloseReason::kEvicted);
   return true;
 }
 
-void HttpServer::Close(ServerConnection& client, Ending ending) {
+void HttpServer::Close(ServerConnection& client, CloseReason reason, int error_number) {
   const auto found = clients_.find(&client);
   if (found == clients_.end()) return;
-  client.Close(ending);
+  const ClosedConnection closed = client.Describe(reason, error_number);
+  client.Close(reason);
   closed_clients_.Delete(std::move(found->second));
   clients_.erase(found);
+  if (on_connection_closed) on_connection_closed(closed);
   if (on_closed) on_closed();
 }
 
@@ -171,7 +181,7 @@
   for (const auto& [client, owned] : clients_) {
     if (client->IsTransferable()) transferred.push_back(client);
   }
-  for (ServerConnection* client : transferred) Close(*client, Ending::kTransferred);
+  for (ServerConnection* client : transferred) Close(*client, CloseReason::kTransferred);
 }
 
 void HttpServer::Adopt(TransferredClient transferred) {
@@ -182,14 +192,23 @@
 
 // Clients in the listener's queue have connected, and may have sent a request: closing it would reset them.
 void HttpServer::StopListening() {
-  if (!listener_) return;
+  if (!listener_ || stop_listening_tries_ > 0) return;
   evconnlistener_disable(listener_.get());
-  while (true) {
+  accept_again_timer_.Stop();
+  AcceptQueue();
+}
+
+void HttpServer::AcceptQueue() {
+  if (!listener_) return;
+  int error_number = 0;
+  while (error_number == 0 || IsErrorOfAcceptedConnection(error_number)) {
     const int socket = ::accept4(listener_descriptor(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-    if (socket < 0) break;
-    OnAccepted(listener_.get(), socket, nullptr, 0, this);
+    error_number = socket < 0 ? errno : 0;
+    if (socket >= 0) OnAccepted(listener_.get(), socket, nullptr, 0, this);
   }
-  listener_.reset();
+  const bool is_empty = error_number == EAGAIN || error_number == EWOULDBLOCK;
+  if (is_empty || ++stop_listening_tries_ >= kMaxStopListeningTries) return listener_.reset();
+  stop_listening_timer_.Schedule(kQueuePause);
 }
 
 }  // namespace sagetally
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -23,6 +23,28 @@
 // All on the event loop's thread, the handler too.
 class HttpServer {
  public:
+  // Why a connection was closed, for the log.
+  enum class CloseReason {
+    kEndedByClient,     // its end of input, with nothing owed
+    kFailed,            // by an error of the socket
+    kEvicted,           // gave way to a new connection, between requests
+    kEvictedInRequest,  // the same, amid a request, which got 503
+    kResponseRead,      // after its last response, or after the idle timeout
+    kTooMuchInput,      // the client sent on and on after its last response
+    kResponseNotRead,   // the client did not read its last response in time
+    kTransferred,       // to another process
+    kServerStopped
+  };
+  struct ClosedConnection {
+    CloseReason reason = CloseReason::kServerStopped;
+    int error_number = 0;             // kFailed only
+    std::uint64_t number = 0;         // of the connection, in this server
+    std::uint64_t request_count = 0;  // that it brought
+    bool has_open_request = false;    // one that was read and not answered
+    std::size_t unwritten_bytes = 0;  // of responses
+    std::size_t unparsed_bytes = 0;   // of requests
+  };
+
   // Answers the exchange now or later.
   using Handler = std::function<void(std::shared_ptr<Exchange>)>;
 
@@ -60,9 +82,12 @@
   void CloseBetweenRequests(bool include_unused = false);
   // Every response from now on ends its connection, or no longer does.
   void SetClosing(bool closing) { is_closing_ = closing; }
-  // Accepts what has connected already, then closes the listener.
+  // Accepts what has connected already, then closes the listener; if no descriptor is free for them, a
+  // moment later.
   void StopListening();
-  std::function<void()> on_closed;  // after each connection; may be empty
+  std::function<void()> on_closed;                                    // after each connection; may be empty
+  std::function<void(const ClosedConnection&)> on_connection_closed;  // before on_closed; may be empty
+  std::function<void()> on_connection_refused;  // a new one was closed unread, for want of room; may be empty
   // Descriptor of the listener, -1 without one; stays the server's.
   int listener_descriptor() const { return listener_ ? evconnlistener_get_fd(listener_.get()) : -1; }
   // No response is owed to a client, or still to be written.
@@ -77,24 +102,25 @@
  private:
   friend class ServerConnection;
 
-  // kTransferred: another process reads and writes there now.
-  enum class Ending { kClosed, kTransferred };
-
   static void OnAccepted(evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* self);
   static void OnAcceptFailed(evconnlistener*, void* self);
   EventListenerPtr OpenListener(const Address& address, FileDescriptor inherited);
   void AddClient(std::unique_ptr<ServerConnection> client);
   bool MakeCapacity();
-  void Close(ServerConnection& client, Ending ending = Ending::kClosed);
+  void Close(ServerConnection& client, CloseReason reason, int error_number = 0);
+  void AcceptQueue();
 
   EventLoop& loop_;
   const Limits limits_;
   Handler handler_;
   EventListenerPtr listener_;
   std::uint16_t port_ = 0;
+  std::uint64_t next_connection_number_ = 1;
   bool is_closing_ = false;
   std::map<ServerConnection*, std::unique_ptr<ServerConnection>> clients_;
   Timer accept_again_timer_;
+  Timer stop_listening_timer_;
+  int stop_listening_tries_ = 0;
   DeferredDeleter<ServerConnection> closed_clients_;
 };
 
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -6,9 +6,12 @@
 
 #include <algorithm>
 #include <boost/beast/http/status.hpp>
+#include <cerrno>
 #include <string_view>
 #include <utility>
 
+#include "net/socket_error.h"
+
 namespace sagetally {
 namespace {
 
@@ -23,12 +26,26 @@
 // After the last response, what the client sends is discarded for a moment, so that it reads the response.
 constexpr Duration kLingerTime = milliseconds(200);
 constexpr std::size_t kMaxLingerBytes = 128 * 1024;
+constexpr Duration kLastResponseTimeout = milliseconds(3000);  // for the client to read it
 constexpr std::size_t kDiscardBufferBytes = 4096;
 
 constexpr int kNoContent = 204;
 constexpr int kRequestTimeout = 408;
+constexpr int kServiceUnavailable = 503;
+constexpr const char* kRejectionHeaders = "Connection: close\r\nContent-Length: 0\r\n\r\n";
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
+// recv() that is not disturbed by a signal or a shortage of memory.
+ssize_t Receive(int socket, char* bytes, std::size_t size, int flags) {
+  static constexpr int kMaxTries = 8;
+  ssize_t received = -1;
+  for (int i = 0; i < kMaxTries; ++i) {
+    received = ::recv(socket, bytes, size, flags | MSG_DONTWAIT);
+    if (received >= 0 || errno == EAGAIN || errno == EWOULDBLOCK || !IsTransientSocketError(errno)) break;
+  }
+  return received;
+}
+
 std::string ToString(boost::beast::string_view text) { return {text.data(), text.size()}; }
 
 std::string StatusLine(int status) {
@@ -56,7 +73,9 @@
 ServerConnection::ServerConnection(HttpServer& server, evutil_socket_t socket,
                                    const HttpServer::TransferredClient* transferred)
     : server_(server),
+      number_(server.next_connection_number_++),
       buffers_(bufferevent_socket_new(server.loop_.base(), socket, BEV_OPT_CLOSE_ON_FREE)),
+      resumer_(server.loop_, buffers_.get()),
       timer_(server.loop_, [this] { OnTimeout(); }),
       reader_({server.limits_.max_head_bytes, server.limits_.max_body_bytes}),
       idle_since_(std::chrono::steady_clock::now()),
@@ -69,7 +88,7 @@
   if (transferred != nullptr) ResumeTransferred(*transferred);
 }
 
-ServerConnection::~ServerConnection() { Close(HttpServer::Ending::kClosed); }
+ServerConnection::~ServerConnection() { Close(HttpServer::CloseReason::kServerStopped); }
 
 void ServerConnection::ResumeTransferred(const HttpServer::TransferredClient& transferred) {
   has_sent_requests_ = transferred.has_sent_requests;
@@ -84,20 +103,46 @@
   ReadSoon();
 }
 
-void ServerConnection::Close(HttpServer::Ending ending) {
+void ServerConnection::Close(HttpServer::CloseReason reason) {
   if (const auto exchange = open_exchange()) exchange->client_ = nullptr;
-  // A close with unread bytes is a reset, which would overtake the last response.
+  // A close with unread bytes is a reset, which would overtake the last response. Between requests it is what
+  // a client needs whose next request has just come: it sees that nobody has read it.
+  const bool discards =
+      reason != HttpServer::CloseReason::kTransferred && reason != HttpServer::CloseReason::kEvicted;
   char bytes[kDiscardBufferBytes];
   std::size_t discarded = 0;
-  while (buffers_ && ending == HttpServer::Ending::kClosed && discarded < kMaxLingerBytes) {
-    const ssize_t size = ::recv(socket(), bytes, sizeof bytes, MSG_DONTWAIT);
+  while (buffers_ && discards && discarded < kMaxLingerBytes) {
+    const ssize_t size = Receive(socket(), bytes, sizeof bytes, 0);
     if (size <= 0) break;
     discarded += static_cast<std::size_t>(size);
   }
+  resumer_.Stop();
   buffers_.reset();
   timer_.Stop();
 }
 
+HttpServer::ClosedConnection ServerConnection::Describe(HttpServer::CloseReason reason,
+                                                        int error_number) const {
+  HttpServer::ClosedConnection closed;
+  closed.reason = reason;
+  closed.error_number = error_number;
+  closed.number = number_;
+  closed.request_count = request_count_;
+  closed.has_open_request = open_exchange() != nullptr;
+  closed.unwritten_bytes = UnwrittenBytes();
+  closed.unparsed_bytes = evbuffer_get_length(input());
+  return closed;
+}
+
+bool ServerConnection::RejectPartialRequest() {
+  if (!reader_.is_reading()) return false;
+  const std::string text = StatusLine(kServiceUnavailable) + kRejectionHeaders;
+  [[maybe_unused]] const ssize_t sent =
+      ::send(socket(), text.data(), text.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+  ::shutdown(socket(), SHUT_WR);
+  return true;
+}
+
 bool ServerConnection::CloseGracefully() {
   if (HasUnreadBytes()) return false;
   CloseOnceWritten();
@@ -107,11 +152,13 @@
 
 void ServerConnection::CloseOnceWritten() {
   is_closing_ = true;
+  write_deadline_ = std::chrono::steady_clock::now() + kLastResponseTimeout;
   timer_.Schedule(kLingerTime);
 }
 
 void ServerConnection::SendResponse(int status, const std::string& body, const HttpHeaders& headers) {
-  const bool is_last = server_.is_closing_ || !keep_alive_ || client_has_ended_;
+  // Requests that were read with this one are answered too, unless it asked for the end itself.
+  const bool is_last = !keep_alive_ || ((server_.is_closing_ || client_has_ended_) && !HasUnparsedBytes());
   std::string text = StatusLine(status);
   for (const auto& [name, value] : headers) text.append(name).append(": ").append(value).append("\r\n");
   if (is_last) text += "Connection: close\r\n";
@@ -133,7 +180,8 @@
 
 bool ServerConnection::HasUnreadBytes() const {
   char byte = 0;
-  return HasUnparsedBytes() || ::recv(socket(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+  const bool has_next_request = HasUnparsedBytes() && !reader_.is_reading();
+  return has_next_request || Receive(socket(), &byte, 1, MSG_PEEK) > 0;
 }
 
 HttpServer::ClientToTransfer ServerConnection::DescribeForTransfer() const {
@@ -182,12 +230,19 @@
   const std::size_t size = evbuffer_get_length(input());
   discarded_bytes_ += size;
   evbuffer_drain(input(), size);
-  if (discarded_bytes_ > kMaxLingerBytes) server_.Close(*this);
+  if (discarded_bytes_ <= kMaxLingerBytes) return;
+  // The last response goes first: until it is written, nothing more is read.
+  if (UnwrittenBytes() > 0) {
+    bufferevent_disable(buffers_.get(), EV_READ);
+  } else {
+    server_.Close(*this, HttpServer::CloseReason::kTooMuchInput);
+  }
 }
 
 void ServerConnection::HandleRequest() {
   RequestReader::HttpRequest request = reader_.TakeRequest();
   has_sent_requests_ = true;
+  ++request_count_;
   timer_.Stop();
   keep_alive_ = request.keep_alive();
   auto exchange = std::make_shared<Exchange>(this, ToString(request.method_string()), PathOf(request),
@@ -200,19 +255,28 @@
   reader_.Reset();
   has_sent_requests_ = true;
   is_closing_ = true;
-  Write(StatusLine(status) + "Connection: close\r\nContent-Length: 0\r\n\r\n");
+  Write(StatusLine(status) + kRejectionHeaders);
   CloseOnceWritten();
   Read();
 }
 
 void ServerConnection::OnTimeout() {
-  if (is_closing_) return server_.Close(*this);
+  if (is_closing_) return CloseAfterLinger();
   if (reader_.is_reading()) return RejectRequest(kRequestTimeout);
   if (CloseGracefully()) return;
   timer_.Schedule(kNextRequestTimeout);  // the request that has come is read in this round
   if (HasUnparsedBytes()) ReadSoon();
 }
 
+// A client may be slow to read its last response, and is waited for.
+void ServerConnection::CloseAfterLinger() {
+  if (UnwrittenBytes() == 0) return server_.Close(*this, HttpServer::CloseReason::kResponseRead);
+  if (std::chrono::steady_clock::now() >= write_deadline_) {
+    return server_.Close(*this, HttpServer::CloseReason::kResponseNotRead);
+  }
+  timer_.Schedule(kLingerTime);
+}
+
 // Reads what is in the buffer already: libevent reports only what is new there.
 void ServerConnection::ReadSoon() { bufferevent_trigger(buffers_.get(), EV_READ, BEV_OPT_DEFER_CALLBACKS); }
 
@@ -227,20 +291,27 @@
   if (!connection->is_closing_) return connection->Read();
   // The client's end closes it, or the timer does.
   ::shutdown(connection->socket(), SHUT_WR);
-  if (connection->client_has_ended_) connection->server_.Close(*connection);
+  if (!connection->client_has_ended_) return connection->timer_.Schedule(kLingerTime);
+  connection->server_.Close(*connection, HttpServer::CloseReason::kEndedByClient);
 }
 
 void ServerConnection::OnEvent(bufferevent*, short events, void* self) {
-  static_cast<ServerConnection*>(self)->OnClosedByClient(events);
+  static_cast<ServerConnection*>(self)->OnSocketEvent(events);
 }
 
-void ServerConnection::OnClosedByClient(short events) {
-  // A client that has ended its sending may still read the response to a whole request.
-  if ((events & BEV_EVENT_EOF) != 0 && !IsSettled()) {
-    client_has_ended_ = true;
-    return;
-  }
-  server_.Close(*this);
+void ServerConnection::OnSocketEvent(short events) {
+  const int error_number = EVUTIL_SOCKET_ERROR();
+  if (resumer_.ResumesAfter(events, error_number)) return;
+  if ((events & BEV_EVENT_EOF) != 0) return OnEndOfInput();
+  server_.Close(*this, HttpServer::CloseReason::kFailed, error_number);
+}
+
+// A client that has ended its sending may still read the responses to its whole requests.
+void ServerConnection::OnEndOfInput() {
+  client_has_ended_ = true;
+  if (IsSettled()) Read();
+  if (buffers_ == nullptr || !IsSettled()) return;
+  server_.Close(*this, HttpServer::CloseReason::kEndedByClient);
 }
 
 }  // namespace sagetally
--- a/src/net/server_connection.h
+++ b/src/net/server_connection.h
@@ -10,6 +10,7 @@
 #include "net/event_loop.h"
 #include "net/http_server.h"
 #include "net/request_reader.h"
+#include "net/transfer_resumer.h"
 
 namespace sagetally {
 
@@ -25,7 +26,11 @@
 
   // Closes this process's socket; the exchange that is open can't be answered any more. Safe within the
   // connection's own callbacks, unlike its destructor.
-  void Close(HttpServer::Ending ending);
+  void Close(HttpServer::CloseReason reason);
+  // What the log says of a connection that is about to be closed.
+  HttpServer::ClosedConnection Describe(HttpServer::CloseReason reason, int error_number) const;
+  // Amid a request: answers it with 503, as far as that can be written at once, and returns true.
+  bool RejectPartialRequest();
   // Between requests: ends our side, and discards for a moment what the client has sent meanwhile. The client
   // sees its request unread and may send it again. False, and nothing is done, if a request has come already:
   // that is answered first.
@@ -35,7 +40,8 @@
 
   // The request that waits for its response, if there is one.
   std::shared_ptr<Exchange> open_exchange() const;
-  // Bytes have arrived that were not parsed.
+  // Bytes have arrived that the parser has not seen. It has seen those of a request that is being read and
+  // are in the buffer still.
   bool HasUnreadBytes() const;
   // A whole request has come here, or one was rejected.
   bool has_sent_requests() const { return has_sent_requests_; }
@@ -57,10 +63,12 @@
   static void OnOutputDrained(bufferevent*, void* self);
   static void OnEvent(bufferevent*, short events, void* self);
   void OnTimeout();
-  void OnClosedByClient(short events);
+  void OnEndOfInput();
+  void OnSocketEvent(short events);
   void Read();
   bool ReadStep();
   void DiscardInput();
+  void CloseAfterLinger();
   void ResumeTransferred(const HttpServer::TransferredClient& transferred);
   void HandleRequest();
   void RejectRequest(int status);
@@ -74,16 +82,20 @@
   std::size_t UnwrittenBytes() const { return evbuffer_get_length(output()); }
 
   HttpServer& server_;
+  const std::uint64_t number_;
   BufferEventPtr buffers_;  // null once closed
-  Timer timer_;             // for the request that is awaited or being read, or for the end
+  TransferResumer resumer_;
+  Timer timer_;  // for the request that is awaited or being read, or for the end
   RequestReader reader_;
   std::weak_ptr<Exchange> exchange_;  // the last one handed to the server's handler
   bool has_sent_requests_ = false;
   bool is_closing_ = false;  // no further request is read
   bool keep_alive_ = true;   // as the open request asks
   bool client_has_ended_ = false;
+  std::uint64_t request_count_ = 0;
   std::size_t discarded_bytes_ = 0;
-  std::chrono::steady_clock::time_point idle_since_;  // accepted, or last answered
+  std::chrono::steady_clock::time_point write_deadline_;  // for the last response
+  std::chrono::steady_clock::time_point idle_since_;      // accepted, or last answered
   std::chrono::steady_clock::time_point last_received_at_;
 };
 
--- a/src/net/wakeup_descriptor.h
+++ b/src/net/wakeup_descriptor.h
@@ -5,6 +5,7 @@
 #include <sys/eventfd.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <cstdint>
 #include <functional>
 #include <utility>
@@ -28,8 +29,11 @@
   // From any thread. Does not block.
   void Notify() const {
     const std::uint64_t increment = 1;
-    // Fails only where the counter is full, and then the loop is due to wake anyway.
-    [[maybe_unused]] const auto written = ::write(descriptor_.get(), &increment, sizeof increment);
+    ssize_t written = -1;
+    do {
+      written = ::write(descriptor_.get(), &increment, sizeof increment);
+    } while (written < 0 && errno == EINTR);
+    // Else it fails only where the counter is full, and then the loop is due to wake anyway.
   }
 
  private:
