--- a/src/loadtest/cli.cpp
+++ b/src/loadtest/cli.cpp
@@ -15,9 +15,9 @@
   CLI::App app{"sagetally-loadtest: load, stand-ins, traces and reports round sagetally"};
   app.set_version_flag("--version", std::string(kVersion));
   app.require_subcommand(1);
-  const Command commands[] = {AddDemoCommand(app),   AddLoadCommand(app),        AddLimitCommand(app),
-                              AddStubCommand(app),   AddTraceImportCommand(app), AddReportCommand(app),
-                              AddCompareCommand(app)};
+  const Command commands[] = {AddDemoCommand(app),    AddLoadCommand(app),        AddLimitCommand(app),
+                              AddStubCommand(app),    AddTraceImportCommand(app), AddReportCommand(app),
+                              AddCompareCommand(app), AddSoakCommand(app)};
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& error) {
--- a/src/loadtest/commands/command.h
+++ b/src/loadtest/commands/command.h
@@ -26,6 +26,7 @@
 Command AddLimitCommand(CLI::App& parent);
 Command AddStubCommand(CLI::App& parent);
 Command AddTraceImportCommand(CLI::App& parent);
+Command AddSoakCommand(CLI::App& parent);
 Command AddReportCommand(CLI::App& parent);
 Command AddCompareCommand(CLI::App& parent);
 
--- /dev/null
+++ b/src/loadtest/commands/soak_command.cpp
@@ -0,0 +1,111 @@
+// `sagetally-loadtest soak`.
+#include <fmt/format.h>
+
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <memory>
+#include <set>
+#include <sstream>
+
+#include "loadtest/commands/command.h"
+#include "loadtest/interrupt.h"
+#include "loadtest/soak/soak_run.h"
+
+namespace sagetally::loadtest {
+namespace {
+
+namespace fs = std::filesystem;
+
+constexpr std::size_t kShownBreaks = 5;
+constexpr std::size_t kShownLines = 40;
+
+struct SoakCommandOptions {
+  std::uint64_t seed = 1;
+  int seeds = 1;
+  std::string schedule;
+  std::string program;
+  std::string shim;
+};
+
+std::string BesideThisProgram(const char* name) {
+  return (fs::read_symlink("/proc/self/exe").parent_path() / name).string();
+}
+
+// The lines of all logs that name the id, which are in order by their time.
+void PrintTimeline(const std::string& folder, const std::string& id) {
+  std::set<std::string> lines;
+  for (const auto& entry : fs::directory_iterator(folder)) {
+    if (entry.path().extension() != ".log") continue;
+    std::ifstream file(entry.path());
+    for (std::string line; std::getline(file, line);) {
+      if (line.find("id=" + id + " ") != std::string::npos) {
+        lines.insert(line + "  [" + entry.path().filename().string() + "]");
+      }
+    }
+  }
+  std::size_t shown = 0;
+  for (const std::string& line : lines) {
+    if (++shown > kShownLines) break;
+    std::cout << "    " << line << "\n";
+  }
+}
+
+void PrintResult(const SoakSchedule& schedule, const SoakResult& result) {
+  std::cout << fmt::format(
+      "seed {}: {} nodes, crowd {}, {} requests, {} answered, {} faults injected, {} breaks\n", schedule.seed,
+      schedule.nodes, schedule.crowd, result.requests, result.answered, result.injected_faults,
+      result.breaks.size());
+  for (std::size_t i = 0; i < result.breaks.size() && i < kShownBreaks; ++i) {
+    const SoakBreak& found = result.breaks[i];
+    std::cout << "  " << found.rule << " " << found.id << ": " << found.detail << "\n";
+    if (!found.id.empty()) PrintTimeline(result.folder, found.id);
+  }
+  if (!result.breaks.empty()) std::cout << "  files: " << result.folder << "\n";
+  std::cout << std::flush;
+}
+
+std::vector<SoakSchedule> Schedules(const SoakCommandOptions& options) {
+  if (!options.schedule.empty()) return {ReadSchedule(options.schedule)};
+  std::vector<SoakSchedule> schedules;
+  for (int i = 0; i < options.seeds; ++i) {
+    schedules.push_back(DrawSchedule(options.seed + static_cast<std::uint64_t>(i)));
+  }
+  return schedules;
+}
+
+int RunSoakCommand(const SoakCommandOptions& command) {
+  Interrupt interrupt;
+  SoakOptions options;
+  options.program = command.program.empty() ? BesideThisProgram("sagetally") : command.program;
+  options.shim = command.shim.empty() ? BesideThisProgram("libsagetally_fault_shim.so") : command.shim;
+  options.stop = [&] { return interrupt.Requested(); };
+  int passed = 0;
+  int failed = 0;
+  for (const SoakSchedule& schedule : Schedules(command)) {
+    if (interrupt.Requested()) break;
+    const SoakResult result = RunSoak(schedule, options);
+    PrintResult(schedule, result);
+    (result.breaks.empty() ? passed : failed) += 1;
+  }
+  std::cout << fmt::format("{} passed, {} failed\n", passed, failed);
+  return failed == 0 && passed > 0 ? 0 : 1;
+}
+
+}  // namespace
+
+Command AddSoakCommand(CLI::App& parent) {
+  auto options = std::make_shared<SoakCommandOptions>();
+  CLI::App* command = AddSubcommand(
+      parent, "soak", "real dispatchers under injected faults, with the rules counted from outside");
+  AddOption(command, "--seed", options->seed, "of the first run");
+  AddOption(command, "--seeds", options->seeds, "how many runs, each with the next seed")
+      ->check(CLI::Range(1, 10'000));
+  AddOption(command, "--schedule", options->schedule, "a file with one run to play, in place of seeds");
+  AddOption(command, "--program", options->program,
+            "the sagetally to start; default: the one beside this program");
+  AddOption(command, "--shim", options->shim, "the fault shim; default: the one beside this program");
+  return {command, [options] { return RunSoakCommand(*options); }};
+}
+
+}  // namespace sagetally::loadtest
--- /dev/null
+++ b/src/loadtest/soak/soak_client.cpp
@@ -0,0 +1,160 @@
+#include "loadtest/soak/soak_client.h"
+
+#include <fmt/format.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <boost/random/uniform_int_distribution.hpp>
+#include <cerrno>
+#include <chrono>
+#include <cstdlib>
+#include <thread>
+
+#include "loadtest/clock.h"
+#include "loadtest/demo/demo_config.h"
+
+namespace sagetally::loadtest {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::int64_t kPatienceUs = 400'000;  // after which a client gives a request up
+constexpr auto kReconnectPause = milliseconds(20);
+constexpr int kMaxPauseMs = 60;  // between two requests
+constexpr int kDeadlineMs = 4000;
+constexpr int kRequestsPerConnection = 30;
+constexpr std::size_t kReadBytes = 4096;
+constexpr std::array<const char*, 3> kClasses = {"aviso", "pedido", "pagamento"};
+
+sockaddr_in Loopback(std::uint16_t port) {
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(port);
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  return address;
+}
+
+FileDescriptor ConnectTo(std::uint16_t port) {
+  FileDescriptor socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+  const sockaddr_in address = Loopback(port);
+  if (::connect(socket.get(), reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0) {
+    return FileDescriptor();
+  }
+  return socket;
+}
+
+// Whether `text` holds a whole response, by its Content-Length.
+bool IsWholeResponse(const std::string& text) {
+  static constexpr std::string_view kLength = "Content-Length: ";
+  const std::size_t head_end = text.find("\r\n\r\n");
+  if (head_end == std::string::npos) return false;
+  const std::size_t length = text.find(kLength);
+  if (length == std::string::npos || length > head_end) return true;
+  const auto body = static_cast<std::size_t>(std::atoi(text.c_str() + length + kLength.size()));
+  return text.size() >= head_end + 4 + body;
+}
+
+}  // namespace
+
+SoakClient::SoakClient(int node, const std::atomic<std::uint16_t>& port, std::uint64_t seed, int number)
+    : node_(node),
+      port_(port),
+      number_(number),
+      random_(Stream(seed, fmt::format("client {} {}", node, number))) {}
+
+bool SoakClient::Connect() {
+  if (socket_.get() >= 0) return true;
+  const std::uint16_t port = port_;
+  if (port != 0) socket_ = ConnectTo(port);
+  requests_on_connection_ = 0;
+  return socket_.get() >= 0;
+}
+
+std::string SoakClient::RequestText(const std::string& id) {
+  const auto draw = [this](int most) {
+    return boost::random::uniform_int_distribution<int>(0, most)(random_);
+  };
+  const char* const name = kClasses.at(static_cast<std::size_t>(draw(static_cast<int>(kClasses.size()) - 1)));
+  return fmt::format(
+      "POST /{0} HTTP/1.1\r\nHost: soak\r\nX-Request-Id: {1}\r\nX-Class: {0}\r\nX-Deadline: {2}m\r\n"
+      "Idempotency-Key: key-{1}\r\nX-Envelope: dest={3}\r\nContent-Length: 2\r\n\r\nok",
+      name, id, kDeadlineMs, draw(kDemoDestinations - 1));
+}
+
+void SoakClient::Run(const std::atomic<bool>& stop) {
+  while (!stop) {
+    if (Connect()) {
+      SendOne();
+      const int pause = boost::random::uniform_int_distribution<int>(0, kMaxPauseMs)(random_);
+      std::this_thread::sleep_for(milliseconds(pause));
+    } else {
+      std::this_thread::sleep_for(kReconnectPause);
+    }
+  }
+}
+
+void SoakClient::SendOne() {
+  RequestRecord record;
+  record.id = fmt::format("soak-{}-{}-{}", node_, number_, next_request_++);
+  record.node = node_;
+  const std::string text = RequestText(record.id);
+  const ssize_t sent = ::send(socket_.get(), text.data(), text.size(), MSG_NOSIGNAL);
+  record.sent_us = NowUs();
+  if (sent != static_cast<ssize_t>(text.size())) {  // its last byte was never written
+    socket_ = FileDescriptor();
+    return;
+  }
+  ++requests_on_connection_;
+  AwaitResponse(record);
+  record.ended_us = NowUs();
+  records_.push_back(record);
+  if (requests_on_connection_ >= kRequestsPerConnection) socket_ = FileDescriptor();
+}
+
+void SoakClient::AwaitResponse(RequestRecord& record) {
+  std::string received;
+  char bytes[kReadBytes];
+  while (!IsWholeResponse(received)) {
+    const std::int64_t left_us = record.sent_us + kPatienceUs - NowUs();
+    pollfd readable{socket_.get(), POLLIN, 0};
+    const int ready = left_us > 0 ? ::poll(&readable, 1, static_cast<int>(left_us / 1000 + 1)) : 0;
+    if (ready < 0 && errno == EINTR) continue;
+    if (ready <= 0) {
+      record.end = RequestEnd::kGivenUp;
+      socket_ = FileDescriptor();
+      return;
+    }
+    const ssize_t size = ::recv(socket_.get(), bytes, sizeof bytes, 0);
+    if (size <= 0) {
+      record.end = requests_on_connection_ == 1 ? RequestEnd::kClosedOnFirst : RequestEnd::kClosedOnLater;
+      socket_ = FileDescriptor();
+      return;
+    }
+    received.append(bytes, static_cast<std::size_t>(size));
+  }
+  record.status = std::atoi(received.c_str() + std::string_view("HTTP/1.1 ").size());
+  if (received.find("Connection: close") != std::string::npos) socket_ = FileDescriptor();
+}
+
+void RunCrowd(const std::atomic<std::uint16_t>& port, int connections, const std::atomic<bool>& stop) {
+  static constexpr std::string_view kHalfRequest = "POST /aviso HTTP/1.1\r\nHost: so";
+  std::vector<FileDescriptor> sockets(static_cast<std::size_t>(connections));
+  while (!stop) {
+    for (FileDescriptor& socket : sockets) {
+      char byte = 0;
+      const bool has_ended = socket.get() < 0 || ::recv(socket.get(), &byte, 1, MSG_DONTWAIT) >= 0 ||
+                             (errno != EAGAIN && errno != EINTR);
+      if (!has_ended) continue;
+      socket = port != 0 ? ConnectTo(port) : FileDescriptor();
+      if (socket.get() < 0) break;
+      [[maybe_unused]] const auto sent =
+          ::send(socket.get(), kHalfRequest.data(), kHalfRequest.size(), MSG_NOSIGNAL);
+    }
+    std::this_thread::sleep_for(kReconnectPause);
+  }
+}
+
+}  // namespace sagetally::loadtest
--- /dev/null
+++ b/src/loadtest/soak/soak_run.cpp
@@ -0,0 +1,318 @@
+#include "loadtest/soak/soak_run.h"
+
+#include <fmt/format.h>
+
+#include <atomic>
+#include <chrono>
+#include <csignal>
+#include <deque>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <memory>
+#include <stdexcept>
+#include <thread>
+
+#include "loadtest/clock.h"
+#include "loadtest/demo/child.h"
+#include "loadtest/demo/demo_config.h"
+#include "loadtest/stub/stub_server_thread.h"
+
+namespace sagetally::loadtest {
+namespace {
+
+namespace fs = std::filesystem;
+using std::chrono::milliseconds;
+using Json = nlohmann::json;
+
+constexpr std::int64_t kTerminationUs = 3'700'000;  // from SIGTERM to SIGKILL
+constexpr std::int64_t kRestartPauseUs = 600'000;   // from SIGKILL to the next start
+constexpr std::int64_t kPauseUs = 150'000;          // of SIGSTOP
+constexpr auto kTick = milliseconds(5);
+constexpr auto kReadyTimeout = std::chrono::seconds(20);
+// After the last message: its deadline, the time for a notice after a restart, and some room.
+constexpr double kDrainSeconds = 8;
+
+// One dispatcher process with the signals that are due.
+class SoakNode {
+ public:
+  SoakNode(int number, const SoakSchedule& schedule, const SoakOptions& options,
+           const StubServerThread& stubs, const std::string& folder)
+      : number_(number), schedule_(schedule), options_(options), folder_(folder) {
+    const std::string name = fmt::format("n{}", number);
+    Json config = DemoPlatformConfigJson(name, stubs, fmt::format("{}/{}", folder, name), true);
+    config["limits"]["sockets"] = schedule.sockets;
+    fs::create_directories(config.at("state").get<std::string>());
+    std::ofstream(ConfigPath()) << config.dump(1);
+    Start();
+  }
+
+  const std::atomic<std::uint16_t>& port() const { return port_; }
+  const std::vector<DownTime>& down_times() const { return down_times_; }
+  std::vector<SoakBreak> breaks;
+
+  void Apply(NodeFault fault) {
+    if (!process_->Running() || terminated_us_ != 0) return;
+    switch (fault) {
+      case NodeFault::kRestart:
+        process_->Signal(SIGTERM);
+        terminated_us_ = NowUs();
+        return;
+      case NodeFault::kKill:
+        return Kill();
+      case NodeFault::kReload:
+        process_->Signal(SIGHUP);
+        return;
+      case NodeFault::kPause:
+        process_->Signal(SIGSTOP);
+        paused_us_ = NowUs();
+        return;
+    }
+  }
+
+  // Does what is due.
+  void Step() {
+    const std::int64_t now = NowUs();
+    if (paused_us_ != 0 && now >= paused_us_ + kPauseUs) {
+      process_->Signal(SIGCONT);
+      paused_us_ = 0;
+    }
+    if (terminated_us_ != 0 && now >= terminated_us_ + kTerminationUs) Kill();
+    if (terminated_us_ != 0 && !process_->Running()) OnExit();
+    if (start_at_us_ != 0 && now >= start_at_us_) Start();
+    if (port_ == 0 && start_at_us_ == 0) CheckReady();
+  }
+
+  // Ends the process by SIGTERM at the end of the run.
+  void Stop() {
+    if (paused_us_ != 0) process_->Signal(SIGCONT);
+    process_->Signal(SIGTERM);
+  }
+  bool Running() const { return process_->Running(); }
+  void AwaitReady() {
+    const auto deadline = std::chrono::steady_clock::now() + kReadyTimeout;
+    while (port_ == 0) {
+      if (std::chrono::steady_clock::now() > deadline) {
+        throw std::runtime_error(fmt::format("node {} did not start; see {}", number_, LogPath()));
+      }
+      std::this_thread::sleep_for(kTick);
+      Step();
+    }
+  }
+
+ private:
+  std::string ConfigPath() const { return fmt::format("{}/n{}.json", folder_, number_); }
+  std::string LogPath() const { return fmt::format("{}/n{}-{}.log", folder_, number_, starts_); }
+
+  void Start() {
+    ++starts_;
+    start_at_us_ = 0;
+    std::vector<std::string> command;
+    if (!schedule_.call_faults.empty()) {
+      command = {"env", "LD_PRELOAD=" + options_.shim,
+                 fmt::format("SAGETALLY_FAULTS={},after=0.5,seed={}", schedule_.call_faults, schedule_.seed),
+                 fmt::format("SAGETALLY_FAULT_LOG={}/faults.log", folder_)};
+    }
+    command.insert(command.end(),
+                   {options_.program, "serve", "--log-level", "debug", "--config", ConfigPath()});
+    process_ = std::make_unique<Child>(command, "", LogPath());
+    started_us_ = NowUs();
+  }
+
+  void CheckReady() {
+    if (const auto port = ReadyPort(process_->log())) {
+      port_ = *port;
+      if (!down_times_.empty()) down_times_.back().until_us = NowUs();
+    } else if (!process_->Running()) {
+      throw std::runtime_error(fmt::format("node {} ended at its start; see {}", number_, LogPath()));
+    }
+  }
+
+  void Kill() {
+    process_->Signal(SIGKILL);
+    process_->Wait();
+    BeginDownTime();
+  }
+
+  // It has ended after SIGTERM by itself.
+  void OnExit() {
+    const int code = process_->Wait();
+    if (code != 0)
+      breaks.push_back({"exit", "", fmt::format("node {} ended with {} after SIGTERM", number_, code)});
+    BeginDownTime();
+  }
+
+  // Only a kill excuses a request that was read; one that is sent as the process has ended meets a reset.
+  void BeginDownTime() {
+    const std::int64_t now = NowUs();
+    port_ = 0;
+    terminated_us_ = 0;
+    paused_us_ = 0;
+    start_at_us_ = now + kRestartPauseUs;
+    down_times_.push_back(
+        {number_, now - 2 * static_cast<std::int64_t>(kTick.count()) * 1000, now + kRestartPauseUs});
+  }
+
+  const int number_;
+  const SoakSchedule& schedule_;
+  const SoakOptions& options_;
+  const std::string folder_;
+  std::unique_ptr<Child> process_;
+  std::atomic<std::uint16_t> port_{0};
+  int starts_ = 0;
+  std::int64_t started_us_ = 0, terminated_us_ = 0, paused_us_ = 0, start_at_us_ = 0;
+  std::vector<DownTime> down_times_;
+};
+
+StubServerSettings PartnerSettingsOf(const SoakSchedule& schedule) {
+  DemoOptions demo;
+  demo.seed = schedule.seed;
+  demo.outage = false;
+  Json json = DemoStubServersJson(demo);
+  for (const PartnerFaultEvent& event : schedule.partner_faults) {
+    json["timeline"].push_back({{"fault", event.fault},
+                                {"at_ms", event.at_ms},
+                                {"for_ms", event.for_ms},
+                                {"endpoint", fmt::format("partner-{}", event.destination)},
+                                {"destination", event.destination},
+                                {"share", event.share}});
+  }
+  return StubServerSettingsFromJson(json);
+}
+
+std::string MakeFolder() {
+  std::string path = (fs::temp_directory_path() / "sagetally-soak-XXXXXX").string();
+  if (::mkdtemp(path.data()) == nullptr) throw std::runtime_error(path + ": can't be made");
+  return path;
+}
+
+// All nodes of a run with their clients.
+class Fleet {
+ public:
+  Fleet(const SoakSchedule& schedule, const SoakOptions& options, const StubServerThread& stubs,
+        const std::string& folder)
+      : schedule_(schedule), options_(options) {
+    for (int i = 0; i < schedule.nodes; ++i) {
+      nodes_.push_back(std::make_unique<SoakNode>(i, schedule, options, stubs, folder));
+    }
+    for (const auto& node : nodes_) node->AwaitReady();
+  }
+  ~Fleet() { StopClients(); }
+
+  void Play() {
+    StartClients();
+    const std::int64_t started = NowUs();
+    std::size_t next = 0;
+    const double all_ms = schedule_.seconds * 1000;
+    for (double now_ms = 0; now_ms < all_ms && !IsInterrupted();
+         now_ms = static_cast<double>(NowUs() - started) / 1000) {
+      const auto& events = schedule_.node_faults;
+      for (; next < events.size() && events[next].at_ms <= now_ms; ++next) {
+        nodes_.at(static_cast<std::size_t>(events[next].node))->Apply(events[next].fault);
+      }
+      Step();
+    }
+    StopClients();
+    Drain();
+  }
+
+  std::vector<RequestRecord> Requests() const {
+    std::vector<RequestRecord> all;
+    for (const auto& client : clients_) {
+      all.insert(all.end(), client->records().begin(), client->records().end());
+    }
+    return all;
+  }
+  std::vector<DownTime> DownTimes() const {
+    std::vector<DownTime> all;
+    for (const auto& node : nodes_) {
+      all.insert(all.end(), node->down_times().begin(), node->down_times().end());
+    }
+    return all;
+  }
+  std::vector<SoakBreak> Breaks() const {
+    std::vector<SoakBreak> all;
+    for (const auto& node : nodes_) all.insert(all.end(), node->breaks.begin(), node->breaks.end());
+    return all;
+  }
+
+ private:
+  bool IsInterrupted() const { return options_.stop && options_.stop(); }
+
+  void Step() {
+    for (const auto& node : nodes_) node->Step();
+    std::this_thread::sleep_for(kTick);
+  }
+
+  void StartClients() {
+    for (int i = 0; i < schedule_.nodes; ++i) {
+      const auto& port = nodes_[static_cast<std::size_t>(i)]->port();
+      for (int c = 0; c < schedule_.clients_per_node; ++c) {
+        clients_.push_back(std::make_unique<SoakClient>(i, port, schedule_.seed, c));
+        threads_.emplace_back([this, client = clients_.back().get()] { client->Run(stop_); });
+      }
+      if (schedule_.crowd > 0) {
+        threads_.emplace_back([this, &port] { RunCrowd(port, schedule_.crowd, stop_); });
+      }
+    }
+  }
+
+  void StopClients() {
+    stop_ = true;
+    for (std::thread& thread : threads_) {
+      if (thread.joinable()) thread.join();
+    }
+    threads_.clear();
+  }
+
+  // What was taken has its end by then.
+  void Drain() {
+    const std::int64_t until = NowUs() + static_cast<std::int64_t>(kDrainSeconds * 1e6);
+    while (NowUs() < until && !IsInterrupted()) Step();
+    for (const auto& node : nodes_) node->Stop();
+    const std::int64_t stop_until = NowUs() + kTerminationUs;
+    while (NowUs() < stop_until &&
+           std::ranges::any_of(nodes_, [](const auto& node) { return node->Running(); })) {
+      std::this_thread::sleep_for(kTick);
+    }
+  }
+
+  const SoakSchedule& schedule_;
+  const SoakOptions& options_;
+  std::vector<std::unique_ptr<SoakNode>> nodes_;
+  std::vector<std::unique_ptr<SoakClient>> clients_;
+  std::vector<std::thread> threads_;
+  std::atomic<bool> stop_{false};
+};
+
+std::int64_t CountLines(const std::string& path) {
+  std::ifstream file(path);
+  return std::count(std::istreambuf_iterator<char>(file), {}, '\n');
+}
+
+}  // namespace
+
+SoakResult RunSoak(const SoakSchedule& schedule, const SoakOptions& options) {
+  if (!schedule.call_faults.empty() && !fs::exists(options.shim)) {
+    throw std::runtime_error(options.shim + ": no such fault shim; build the tests, or name it with --shim");
+  }
+  SoakResult result;
+  result.folder = MakeFolder();
+  std::ofstream(result.folder + "/schedule.json") << ToJson(schedule).dump(1);
+  StubServerThread stubs(PartnerSettingsOf(schedule));
+  Fleet fleet(schedule, options, stubs, result.folder);
+  fleet.Play();
+  const std::vector<RequestRecord> requests = fleet.Requests();
+  result.requests = static_cast<std::int64_t>(requests.size());
+  result.answered = std::ranges::count(requests, RequestEnd::kAnswered, &RequestRecord::end);
+  result.breaks = JudgeRequests(requests, stubs.Observations(), fleet.DownTimes());
+  for (const SoakBreak& found : fleet.Breaks()) result.breaks.push_back(found);
+  for (const Violation& violation : stubs.Stop().checker.violations()) {
+    result.breaks.push_back({violation.rule, violation.id, violation.detail});
+  }
+  result.injected_faults = CountLines(result.folder + "/faults.log");
+  if (result.breaks.empty()) fs::remove_all(result.folder);
+  return result;
+}
+
+}  // namespace sagetally::loadtest
--- /dev/null
+++ b/src/loadtest/soak/soak_schedule.cpp
@@ -0,0 +1,183 @@
+#include "loadtest/soak/soak_schedule.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/random/uniform_int_distribution.hpp>
+#include <boost/random/uniform_real_distribution.hpp>
+#include <fstream>
+#include <stdexcept>
+
+#include "loadtest/demo/demo_config.h"
+#include "loadtest/random.h"
+
+namespace sagetally::loadtest {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int kMaxNodes = 4;
+constexpr double kCrowdShare = 0.35;  // of the runs
+constexpr double kCallFaultShare = 0.7;
+constexpr int kCrowdSockets = 256;
+constexpr int kRoomySockets = 1024;
+
+constexpr std::array<const char*, 4> kNodeFaultNames = {"restart", "kill", "reload", "pause"};
+
+// What may go wrong with a system call; a run gets some of them.
+constexpr std::array<const char*, 12> kCallFaults = {
+    "writev:ENOBUFS=0.02", "writev:short=0.2",          "readv:short=0.2",         "readv:EINTR=0.1",
+    "readv:ENOMEM=0.02",   "send:ENOBUFS=0.05",         "accept:ECONNABORTED=0.1", "accept:EMFILE=0.1",
+    "socket:EMFILE=0.1",   "connect:EADDRNOTAVAIL=0.1", "epoll_wait:EINTR=0.05",   "write:ENOSPC=0.02"};
+
+constexpr std::array<const char*, 6> kPartnerFaults = {"error", "silent", "reset", "shut", "full", "spoilt"};
+
+// Draws for one schedule.
+class Draws {
+ public:
+  explicit Draws(std::uint64_t seed) : random_(Stream(seed, "soak")) {}
+  int Integer(int least, int most) {
+    return boost::random::uniform_int_distribution<int>(least, most)(random_);
+  }
+  double Real(double least, double most) {
+    return boost::random::uniform_real_distribution<double>(least, most)(random_);
+  }
+  bool Chance(double probability) { return Real(0, 1) < probability; }
+
+ private:
+  Random random_;
+};
+
+std::string DrawCallFaults(Draws& draws) {
+  if (!draws.Chance(kCallFaultShare)) return "";
+  std::string faults;
+  for (const char* fault : kCallFaults) {
+    if (!draws.Chance(0.25)) continue;
+    faults += std::string(faults.empty() ? "" : ",") + fault;
+  }
+  return faults;
+}
+
+std::vector<NodeFaultEvent> DrawNodeFaults(Draws& draws, const SoakSchedule& schedule) {
+  std::vector<NodeFaultEvent> events;
+  const int count = draws.Integer(0, 3);
+  for (int i = 0; i < count; ++i) {
+    NodeFaultEvent event;
+    event.fault = static_cast<NodeFault>(draws.Integer(0, static_cast<int>(kNodeFaultNames.size()) - 1));
+    event.at_ms = draws.Real(500, schedule.seconds * 700);
+    event.node = draws.Integer(0, schedule.nodes - 1);
+    events.push_back(event);
+  }
+  std::ranges::sort(events, {}, &NodeFaultEvent::at_ms);
+  return events;
+}
+
+std::vector<PartnerFaultEvent> DrawPartnerFaults(Draws& draws, const SoakSchedule& schedule) {
+  std::vector<PartnerFaultEvent> events;
+  const int count = draws.Integer(0, 4);
+  for (int i = 0; i < count; ++i) {
+    PartnerFaultEvent event;
+    event.fault = kPartnerFaults.at(
+        static_cast<std::size_t>(draws.Integer(0, static_cast<int>(kPartnerFaults.size()) - 1)));
+    event.at_ms = draws.Real(0, schedule.seconds * 800);
+    event.for_ms = draws.Real(300, 3000);
+    event.destination = draws.Integer(0, kDemoDestinations - 1);
+    event.share = draws.Chance(0.5) ? 1 : draws.Real(0.1, 0.9);
+    events.push_back(event);
+  }
+  return events;
+}
+
+template <typename T>
+T Get(const Json& json, const std::string& key) {
+  try {
+    return json.at(key).get<T>();
+  } catch (const Json::exception&) {
+    throw std::runtime_error("/" + key + ": missing or of the wrong type");
+  }
+}
+
+NodeFault NodeFaultNamed(const std::string& name) {
+  const auto* const found = std::ranges::find(kNodeFaultNames, name);
+  if (found == kNodeFaultNames.end()) {
+    throw std::runtime_error("/node_faults: expected restart, kill, reload or pause, not " + name);
+  }
+  return static_cast<NodeFault>(found - kNodeFaultNames.begin());
+}
+
+SoakSchedule FromJson(const Json& json) {
+  SoakSchedule schedule;
+  schedule.seed = Get<std::uint64_t>(json, "seed");
+  schedule.seconds = Get<double>(json, "seconds");
+  schedule.nodes = Get<int>(json, "nodes");
+  schedule.clients_per_node = Get<int>(json, "clients_per_node");
+  schedule.crowd = Get<int>(json, "crowd");
+  schedule.sockets = Get<int>(json, "sockets");
+  schedule.call_faults = Get<std::string>(json, "call_faults");
+  for (const Json& event : Get<Json>(json, "node_faults")) {
+    schedule.node_faults.push_back({NodeFaultNamed(Get<std::string>(event, "fault")),
+                                    Get<double>(event, "at_ms"), Get<int>(event, "node")});
+  }
+  for (const Json& event : Get<Json>(json, "partner_faults")) {
+    schedule.partner_faults.push_back({Get<std::string>(event, "fault"), Get<double>(event, "at_ms"),
+                                       Get<double>(event, "for_ms"), Get<int>(event, "destination"),
+                                       Get<double>(event, "share")});
+  }
+  return schedule;
+}
+
+}  // namespace
+
+SoakSchedule DrawSchedule(std::uint64_t seed) {
+  Draws draws(seed);
+  SoakSchedule schedule;
+  schedule.seed = seed;
+  schedule.nodes = draws.Integer(1, kMaxNodes);
+  schedule.clients_per_node = draws.Integer(2, 8);
+  const bool has_crowd = draws.Chance(kCrowdShare);
+  schedule.crowd = has_crowd ? draws.Integer(100, 200) : 0;
+  schedule.sockets = has_crowd ? kCrowdSockets : kRoomySockets;
+  schedule.call_faults = DrawCallFaults(draws);
+  schedule.node_faults = DrawNodeFaults(draws, schedule);
+  schedule.partner_faults = DrawPartnerFaults(draws, schedule);
+  return schedule;
+}
+
+Json ToJson(const SoakSchedule& schedule) {
+  Json node_faults = Json::array();
+  for (const NodeFaultEvent& event : schedule.node_faults) {
+    node_faults.push_back({{"fault", kNodeFaultNames.at(static_cast<std::size_t>(event.fault))},
+                           {"at_ms", event.at_ms},
+                           {"node", event.node}});
+  }
+  Json partner_faults = Json::array();
+  for (const PartnerFaultEvent& event : schedule.partner_faults) {
+    partner_faults.push_back({{"fault", event.fault},
+                              {"at_ms", event.at_ms},
+                              {"for_ms", event.for_ms},
+                              {"destination", event.destination},
+                              {"share", event.share}});
+  }
+  return {{"seed", schedule.seed},
+          {"seconds", schedule.seconds},
+          {"nodes", schedule.nodes},
+          {"clients_per_node", schedule.clients_per_node},
+          {"crowd", schedule.crowd},
+          {"sockets", schedule.sockets},
+          {"call_faults", schedule.call_faults},
+          {"node_faults", node_faults},
+          {"partner_faults", partner_faults}};
+}
+
+SoakSchedule ReadSchedule(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) throw std::runtime_error(path + ": can't be read");
+  try {
+    return FromJson(Json::parse(file));
+  } catch (const Json::parse_error& error) {
+    throw std::runtime_error(path + ": " + error.what());
+  } catch (const std::runtime_error& error) {
+    throw std::runtime_error(path + ": " + error.what());
+  }
+}
+
+}  // namespace sagetally::loadtest
