--- a/tests/fault_shim/fault_shim.cpp
+++ b/tests/fault_shim/fault_shim.cpp
@@ -15,6 +15,8 @@
 #include <cstdlib>
 #include <ctime>
 #include <memory>
+#include <mutex>
+#include <vector>
 
 #include "fault_rules.h"
 
@@ -55,7 +57,9 @@
     if (!parsed) return -1;
     random_ = parsed->seed * 0x9E3779B97F4A7C15ULL + static_cast<std::uint64_t>(::getpid());
     started_at_ = SteadySeconds();
-    rules_ = new RuleSet(*std::move(parsed));
+    const std::lock_guard lock(configure_mutex_);
+    rule_sets_.push_back(std::make_unique<RuleSet>(*std::move(parsed)));
+    rules_ = rule_sets_.back().get();
     return 0;
   }
 
@@ -99,7 +103,9 @@
     ::syscall(SYS_write, log_, line, static_cast<std::size_t>(size));
   }
 
-  std::atomic<const RuleSet*> rules_{nullptr};
+  std::mutex configure_mutex_;
+  std::vector<std::unique_ptr<RuleSet>> rule_sets_;
+  std::atomic<const RuleSet*> rules_{nullptr};  // the last of them
   std::atomic<std::uint64_t> random_{1};
   std::atomic<long> injected_{0};
   double started_at_ = 0;
