Arrival permits are drawn in the order of the endpoint list, not of addresses

GrantArrivalPermits went through a std::set of pointers, so where an endpoint has a limit of its own the random draws depended on addresses: the same seed and events did not give the same actions, as the interface promises.

--- a/src/policy/dispatch_policy.cpp
+++ b/src/policy/dispatch_policy.cpp
@@ -97,9 +97,10 @@
   }
 
   void GrantArrivalPermits(const Message& message) {
-    std::set<RateLimitScope*> scopes;
+    std::vector<RateLimitScope*> scopes;  // in the order of the list, on which the random draws depend
     for (const Endpoint* endpoint : message.target->endpoints) {
-      if (endpoint->accepts_calls) scopes.insert(endpoint->scope);
+      const bool is_known = std::ranges::find(scopes, endpoint->scope) != scopes.end();
+      if (endpoint->accepts_calls && !is_known) scopes.push_back(endpoint->scope);
     }
     for (RateLimitScope* scope : scopes) GrantArrivalPermit(state_, *scope, std::ssize(scopes));
   }
