--- a/src/app/request_log.cpp
+++ b/src/app/request_log.cpp
@@ -1,7 +1,10 @@
 #include "app/request_log.h"
 
+#include <algorithm>
+#include <chrono>
 #include <cstring>
-#include <string_view>
+
+#include "dead_letter/wire_names.h"
 
 namespace sagetally {
 namespace {
@@ -40,44 +43,6 @@
   return "server_stopped";
 }
 
-const char* Name(Outcome outcome) {
-  switch (outcome) {
-    case Outcome::kOk:
-      return "ok";
-    case Outcome::kError:
-      return "error";
-    case Outcome::kRejected:
-      return "rejected";
-    case Outcome::kTimeout:
-      return "timeout";
-    case Outcome::kConnectFailed:
-      return "connect_failed";
-    case Outcome::kReset:
-      return "reset";
-    case Outcome::kCancelled:
-      return "cancelled";
-    case Outcome::kNotSent:
-      break;
-  }
-  return "not_sent";
-}
-
-const char* Name(FinalStatus status) {
-  switch (status) {
-    case FinalStatus::kPending:
-      return "pending";
-    case FinalStatus::kDelivered:
-      return "delivered";
-    case FinalStatus::kFailed:
-      return "failed";
-    case FinalStatus::kRejected:
-      return "rejected";
-    case FinalStatus::kExpired:
-      break;
-  }
-  return "expired";
-}
-
 // A connection that was closed without anything owed, as its client or its own last response asked for.
 bool IsEveryday(const HttpServer::ClosedConnection& closed) {
   using Reason = HttpServer::CloseReason;
@@ -152,14 +117,14 @@
              {{"id", message.request.id},
               {"attempt", message.attempts},
               {"endpoint", message.in_flight_endpoint},
-              {"outcome", Name(result.outcome)},
+              {"outcome", std::string(dead_letter::Name(result.outcome))},
               {"retry_after_ms", Milliseconds(result.retry_after)}});
 }
 
 void RequestLog::OnUndelivered(const Message& message) {
-  log_.Info(
-      "message.undelivered",
-      {{"id", message.request.id}, {"status", Name(message.final_status)}, {"attempts", message.attempts}});
+  log_.Info("message.undelivered", {{"id", message.request.id},
+                                    {"status", std::string(dead_letter::Name(message.final_status))},
+                                    {"attempts", message.attempts}});
 }
 
 }  // namespace sagetally
--- a/src/estimators/random_source.h
+++ b/src/estimators/random_source.h
@@ -2,7 +2,6 @@
 #ifndef SAGETALLY_SRC_ESTIMATORS_RANDOM_SOURCE_H_
 #define SAGETALLY_SRC_ESTIMATORS_RANDOM_SOURCE_H_
 
-#include <algorithm>
 #include <cstdint>
 #include <random>
 
--- a/src/policy/policy_state.h
+++ b/src/policy/policy_state.h
@@ -34,8 +34,7 @@
 
 // Permits for calls within the recovery budget.
 struct RecoveryPermits {
-  int available = 0;
-  Time expires_at{0};         // of those that are available
+  Time permit_expires_at{0};  // of the one permit that may be held; not later than now: there is none
   double share_progress = 0;  // to the next share permit, 0 to 1
   Time share_updated_at{0};
   Time confirm_at = Time::max();  // one more call shows whether the last was a failure at all
--- a/src/policy/recovery_budget.h
+++ b/src/policy/recovery_budget.h
@@ -4,8 +4,8 @@
 // of the whole, however many dispatchers there are and however unevenly messages reach them:
 // each message that arrives brings a permit for one call with a probability (arrival permits), and permits
 // also come at a part of an even share of the rate (share permits), so that messages that wait get their turn
-// where few arrive. A permit that is not used soon expires: what many dispatchers saved up during an outage
-// would go out at its end.
+// where few arrive. At most one permit is held, and it expires soon: what many dispatchers saved up during an
+// outage would go out at its end.
 #ifndef SAGETALLY_SRC_POLICY_RECOVERY_BUDGET_H_
 #define SAGETALLY_SRC_POLICY_RECOVERY_BUDGET_H_
 
@@ -28,7 +28,6 @@
 // A failure is confirmed by one more call, on the average so long after a failed connection, or another
 // failure.
 constexpr Duration kConfirmDelay = milliseconds(150), kRecheckDelay = seconds(1);
-constexpr int kMaxSavedPermits = 1;
 constexpr Duration kPermitLifetime = milliseconds(500);
 constexpr Duration kMaxTimerDelay = milliseconds(100);  // a permit that came longer ago has expired
 
@@ -45,10 +44,8 @@
   return used * std::max(budget, scope.only_rejected ? kOnlyRejectedFraction : kUnconfirmedFraction);
 }
 
-inline void GrantPermits(const PolicyState& state, RecoveryPermits& permits, int count) {
-  if (permits.expires_at <= state.now) permits.available = 0;
-  permits.available = std::min(kMaxSavedPermits, permits.available + count);
-  permits.expires_at = state.now + kPermitLifetime;
+inline void GrantPermit(const PolicyState& state, RecoveryPermits& permits) {
+  permits.permit_expires_at = state.now + kPermitLifetime;
 }
 
 // Share permits a second.
@@ -70,10 +67,7 @@
   const double usual_fraction = std::min(1.0, usual / scope.arrivals.At(state.now));
   const double expected = kArrivalPermitFraction * RecoveryFraction(state, scope) * usual_fraction /
                           static_cast<double>(scope_count);
-  const int whole = static_cast<int>(expected);
-  const bool has_fraction = state.random.Uniform(0, 1) < expected - whole;
-  const int count = whole + (has_fraction ? 1 : 0);
-  if (count > 0) GrantPermits(state, scope.permits, count);
+  if (state.random.Uniform(0, 1) < expected) GrantPermit(state, scope.permits);
 }
 
 // Holds the scope to the budget. `sent_at`: of the call that failed. `confirm`: one more call shortly, to any
@@ -93,11 +87,11 @@
       const bool is_sibling = other != &endpoint && other->scope == &scope;
       return is_sibling && other->accepts_calls && !other->HasFailed(state.now);
     });
-    if (has_sibling && scope.rejections == 0) return GrantPermits(state, scope.permits, 1);
+    if (has_sibling && scope.rejections == 0) return GrantPermit(state, scope.permits);
     // The same shows whether what was answered a moment ago has failed at all.
     const bool was_answered_recently =
         scope.last_answered_at && state.now - *scope.last_answered_at < kShortestOutage / 2;
-    if (was_answered_recently && !confirm && scope.rejections == 0) GrantPermits(state, scope.permits, 1);
+    if (was_answered_recently && !confirm && scope.rejections == 0) GrantPermit(state, scope.permits);
   }
   // A dispatcher that was never answered there has no reason to doubt the failure.
   const bool is_first_failure = scope.recovering_since == state.now && scope.rejections == 0;
@@ -133,7 +127,7 @@
   permits.share_updated_at = state.now;
   if (permits.share_progress >= 1) {
     const double seconds_ago = (permits.share_progress - 1) / rate;
-    if (seconds_ago <= ToSeconds(kMaxTimerDelay)) GrantPermits(state, permits, 1);
+    if (seconds_ago <= ToSeconds(kMaxTimerDelay)) GrantPermit(state, permits);
     permits.share_progress = std::fmod(permits.share_progress, 1.0);
   }
   state.WakeBy(state.now + FromSeconds((1 - permits.share_progress) / rate) + milliseconds(1));
@@ -144,7 +138,7 @@
   state.WakeBy(permits.confirm_at);
   if (permits.confirm_at > state.now) return;
   permits.confirm_at = Time::max();
-  GrantPermits(state, permits, 1);
+  GrantPermit(state, permits);
 }
 
 inline bool RecoveryBudgetAllows(PolicyState& state, const Endpoint& endpoint) {
@@ -154,13 +148,12 @@
   if (!scope.recovering_since || endpoint.exempted) return true;
   TakeSharePermit(state, scope);
   TakeConfirmingPermit(state, scope.permits);
-  return scope.permits.available > 0 && scope.permits.expires_at > state.now;
+  return scope.permits.permit_expires_at > state.now;
 }
 
 // A call goes out.
 inline void SpendRecoveryPermit(const Endpoint& endpoint) {
-  RecoveryPermits& permits = endpoint.scope->permits;
-  if (!endpoint.exempted && permits.available > 0) --permits.available;
+  if (!endpoint.exempted) endpoint.scope->permits.permit_expires_at = Time(0);
 }
 
 }  // namespace sagetally::policy
