--- a/src/loadtest/commands/soak_command.cpp
+++ b/src/loadtest/commands/soak_command.cpp
@@ -54,9 +54,11 @@
 
 void PrintResult(const SoakSchedule& schedule, const SoakResult& result) {
   std::cout << fmt::format(
-      "seed {}: {} nodes, crowd {}, {} requests, {} answered, {} faults injected, {} violations\n",
+      "seed {}: {} nodes, crowd {}, {} requests, {} answered, {} faults injected, {} calls on {} connections "
+      "with {} path faults, {} violations\n",
       schedule.seed, schedule.nodes, schedule.half_request_connections, result.requests, result.answered,
-      result.injected_faults, result.violations.size());
+      result.injected_faults, result.partner_path.requests, result.partner_path.connections,
+      result.partner_path.InjectedCount() + result.agent_path.InjectedCount(), result.violations.size());
   for (std::size_t i = 0; i < result.violations.size() && i < kMaxShownViolations; ++i) {
     const SoakViolation& violation = result.violations[i];
     std::cout << "  " << violation.rule << " " << violation.id << ": " << violation.detail << "\n";
--- a/src/loadtest/soak/soak_client.cpp
+++ b/src/loadtest/soak/soak_client.cpp
@@ -64,9 +64,11 @@
 
 }  // namespace
 
-SoakClient::SoakClient(int node, const std::atomic<std::uint16_t>& port, std::uint64_t seed, int number)
+SoakClient::SoakClient(int node, const std::atomic<std::uint16_t>& port, std::uint64_t seed, int destinations,
+                       int number)
     : node_(node),
       port_(port),
+      destinations_(destinations),
       number_(number),
       random_(Stream(seed, fmt::format("client {} {}", node, number))) {}
 
@@ -94,7 +96,7 @@
 }
 
 std::string SoakClient::RequestText(const std::string& id, Idempotency idempotency) {
-  const int destination = boost::random::uniform_int_distribution<int>(0, kDemoDestinations - 1)(random_);
+  const int destination = boost::random::uniform_int_distribution<int>(0, destinations_ - 1)(random_);
   return fmt::format(
       "POST /{0} HTTP/1.1\r\nHost: soak\r\nX-Request-Id: {1}\r\nX-Class: {0}\r\nX-Deadline: {2}m\r\n"
       "Idempotency-Key: key-{1}\r\nX-Envelope: dest={3}\r\nContent-Length: 2\r\n\r\nok",
--- a/src/loadtest/soak/soak_client.h
+++ b/src/loadtest/soak/soak_client.h
@@ -52,8 +52,10 @@
 class SoakClient {
  public:
   // `port` is the node's current port, or 0 while the node is down. It changes during the run and must
-  // outlive the client. `seed` is that of the schedule, `number` the client's number among those of the node.
-  SoakClient(int node, const std::atomic<std::uint16_t>& port, std::uint64_t seed, int number);
+  // outlive the client. `seed` and `destinations` are those of the schedule, `number` the client's number
+  // among those of the node.
+  SoakClient(int node, const std::atomic<std::uint16_t>& port, std::uint64_t seed, int destinations,
+             int number);
 
   // Submits messages until `stop` is true. Blocks, so it is called on a thread of its own.
   void Run(const std::atomic<bool>& stop);
@@ -74,6 +76,7 @@
 
   const int node_;
   const std::atomic<std::uint16_t>& port_;
+  const int destinations_;
   const int number_;
   Random random_;
   FileDescriptor socket_;
--- a/src/loadtest/soak/soak_run.cpp
+++ b/src/loadtest/soak/soak_run.cpp
@@ -201,8 +201,17 @@
                                 {"destination", event.destination},
                                 {"share", event.share}});
   }
+  if (schedule.partner_max_ms > 0) {
+    const Json service = {
+        {"kind", "uniform"}, {"from", schedule.partner_min_ms}, {"to", schedule.partner_max_ms}};
+    for (Json& partner : json["partners"]) {
+      partner = {{"uid", partner["uid"]}, {"destination", partner["destination"]}, {"service_ms", service}};
+    }
+  }
   StubServerSettings settings = StubServerSettingsFromJson(json);
   settings.identify = IdentifyBySoakRequestId;
+  if (!schedule.partner_path.rates.empty()) settings.partner_path_faults = schedule.partner_path;
+  if (!schedule.agent_path.rates.empty()) settings.agent_path_faults = schedule.agent_path;
   return settings;
 }
 
@@ -285,7 +294,7 @@
     for (int i = 0; i < schedule_.nodes; ++i) {
       const auto& port = nodes_[static_cast<std::size_t>(i)]->port();
       for (int c = 0; c < schedule_.clients_per_node; ++c) {
-        clients_.push_back(std::make_unique<SoakClient>(i, port, schedule_.seed, c));
+        clients_.push_back(std::make_unique<SoakClient>(i, port, schedule_.seed, schedule_.destinations, c));
         threads_.emplace_back([this, client = clients_.back().get()] { client->Run(stop_); });
       }
       if (schedule_.half_request_connections > 0) {
@@ -329,6 +338,19 @@
   return std::count(std::istreambuf_iterator<char>(file), {}, '\n');
 }
 
+// Adds what the proxies have recorded. A call that is written on a connection whose endpoint still has to
+// answer an earlier one is a violation: the dispatcher has taken another answer for that one.
+void AddPathFaults(const StubServerSet& servers, SoakResult& result) {
+  for (const auto& proxy : servers.partner_proxies) {
+    result.partner_path.Add(proxy->record());
+    for (const std::string& id : proxy->record().requests_before_answer) {
+      result.violations.push_back(
+          {"call before answer", id, "called on a connection that had not brought an earlier call's answer"});
+    }
+  }
+  if (servers.agent_proxy) result.agent_path.Add(servers.agent_proxy->record());
+}
+
 }  // namespace
 
 SoakResult RunSoak(const SoakSchedule& schedule, const SoakOptions& options) {
@@ -347,10 +369,12 @@
   result.answered = std::ranges::count(requests, RequestOutcome::kAnswered, &RequestRecord::outcome);
   result.violations = FindViolations(requests, stubs.Observations(), fleet.DownTimes());
   for (const SoakViolation& node_violation : fleet.Violations()) result.violations.push_back(node_violation);
-  for (const Violation& violation : stubs.Stop().checker.violations()) {
+  const StubServerSet& servers = stubs.Stop();
+  for (const Violation& violation : servers.checker.violations()) {
     if (violation.rule == kWaitNotKeptRule && HasRestart(schedule)) continue;
     result.violations.push_back({violation.rule, violation.id, violation.detail});
   }
+  AddPathFaults(servers, result);
   result.injected_faults = CountLines(result.folder + "/faults.log");
   if (result.violations.empty()) fs::remove_all(result.folder);
   return result;
--- a/src/loadtest/soak/soak_run.h
+++ b/src/loadtest/soak/soak_run.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "loadtest/proxy/fault_proxy.h"
 #include "loadtest/soak/soak_judge.h"
 #include "loadtest/soak/soak_schedule.h"
 
@@ -24,6 +25,9 @@
   std::int64_t requests = 0;         // written in full by the clients
   std::int64_t answered = 0;         // of these, those with a complete response
   std::int64_t injected_faults = 0;  // system call faults that the shim injected
+  // What the proxies on the paths to the partners and to the agent have recorded.
+  ProxyRecord partner_path;
+  ProxyRecord agent_path;
   std::vector<SoakViolation> violations;
   std::string folder;  // the run's logs and files; already removed unless a rule was violated
 };
--- a/src/loadtest/soak/soak_schedule.cpp
+++ b/src/loadtest/soak/soak_schedule.cpp
@@ -128,6 +128,12 @@
                                        Get<double>(event, "for_ms"), Get<int>(event, "destination"),
                                        Get<double>(event, "share")});
   }
+  schedule.destinations = json.value("destinations", schedule.destinations);
+  schedule.partner_min_ms = json.value("partner_min_ms", 0.0);
+  schedule.partner_max_ms = json.value("partner_max_ms", 0.0);
+  schedule.client_path = PathFaultsFromJson(json.value("client_path", Json::object()));
+  schedule.partner_path = PathFaultsFromJson(json.value("partner_path", Json::object()));
+  schedule.agent_path = PathFaultsFromJson(json.value("agent_path", Json::object()));
   return schedule;
 }
 
@@ -171,7 +177,13 @@
           {"sockets", schedule.descriptor_limit},
           {"call_faults", schedule.call_faults},
           {"node_faults", node_faults},
-          {"partner_faults", partner_faults}};
+          {"partner_faults", partner_faults},
+          {"destinations", schedule.destinations},
+          {"partner_min_ms", schedule.partner_min_ms},
+          {"partner_max_ms", schedule.partner_max_ms},
+          {"client_path", ToJson(schedule.client_path)},
+          {"partner_path", ToJson(schedule.partner_path)},
+          {"agent_path", ToJson(schedule.agent_path)}};
 }
 
 SoakSchedule ReadSchedule(const std::string& path) {
--- a/src/loadtest/soak/soak_schedule.h
+++ b/src/loadtest/soak/soak_schedule.h
@@ -9,6 +9,9 @@
 #include <string>
 #include <vector>
 
+#include "loadtest/demo/demo_config.h"
+#include "loadtest/proxy/path_faults.h"
+
 namespace sagetally::loadtest {
 
 // A fault of a dispatcher process, each caused by a signal.
@@ -45,6 +48,13 @@
   std::string call_faults;  // the fault shim's specification of system call faults; empty if there are none
   std::vector<NodeFaultEvent> node_faults;  // in order of time
   std::vector<PartnerFaultEvent> partner_faults;
+  int destinations = kDemoDestinations;  // messages go to the first of the partners' destinations
+  double partner_min_ms = 0;  // shortest and longest service time of the partners, uniformly distributed;
+  double partner_max_ms = 0;  // 0: as in the demonstration, with its limits of rate and capacity
+  // Faults on the paths between clients and dispatchers, dispatchers and partners, dispatchers and the agent.
+  PathFaults client_path;
+  PathFaults partner_path;
+  PathFaults agent_path;
 };
 
 // Draws a random schedule. Equal seeds give equal schedules.
--- a/src/loadtest/stub/stub_server_set.cpp
+++ b/src/loadtest/stub/stub_server_set.cpp
@@ -9,6 +9,7 @@
 
 constexpr const char* kPartnerApplication =
     "PARTNERS";  // application of the partners in the service registry
+constexpr const char* kLoopbackHost = "127.0.0.1";
 
 }  // namespace
 
@@ -19,7 +20,13 @@
       timeline_(settings.timeline),
       started_us_(NowUs()) {
   if (settings.serve_partners) StartPartners(settings);
+  if (settings.partner_path_faults) StartPartnerProxies(*settings.partner_path_faults);
   if (settings.agent) StartAgent(settings);
+  if (agent && settings.agent_path_faults) {
+    agent_proxy = std::make_unique<FaultProxy>(loop_, *settings.agent_path_faults, "agent", [this] {
+      return Address{kLoopbackHost, agent->port()};
+    });
+  }
   if (settings.registry) StartRegistry(*settings.registry);
   if (settings.frontend) StartFrontend(settings);
   if (settings.sink) StartSink(*settings.sink);
@@ -40,6 +47,17 @@
   }
 }
 
+void StubServerSet::StartPartnerProxies(const PathFaults& faults) {
+  for (std::size_t i = 0; i < partners.size(); ++i) {
+    const std::string& host = listed_partners_[i].listen.host;
+    const auto server_address = [host, partner = partners[i].get()] {
+      return Address{host, partner->port()};
+    };
+    partner_proxies.push_back(
+        std::make_unique<FaultProxy>(loop_, faults, listed_partners_[i].uid, server_address));
+  }
+}
+
 void StubServerSet::StartAgent(const StubServerSettings& settings) {
   agent = std::make_unique<Agent>(loop_, *settings.agent);
   agent->keep_notices = false;
@@ -86,14 +104,20 @@
   };
 }
 
+// Returns the address at which dispatchers reach the partner.
+std::string StubServerSet::PartnerAddress(std::size_t i) const {
+  if (i < partner_proxies.size()) return fmt::format("{}:{}", kLoopbackHost, partner_proxies[i]->port());
+  const Address& listen = listed_partners_[i].listen;
+  return fmt::format("{}:{}", listen.host, i < partners.size() ? partners[i]->port() : listen.port);
+}
+
 std::vector<ListedEndpoint> StubServerSet::ListedEndpoints() const {
   std::vector<ListedEndpoint> endpoints;
   for (std::size_t i = 0; i < listed_partners_.size(); ++i) {
     const PartnerSettings& partner = listed_partners_[i];
-    const std::uint16_t port = i < partners.size() ? partners[i]->port() : partner.listen.port;
     ListedEndpoint endpoint;
     endpoint.uid = partner.uid;
-    endpoint.address = fmt::format("{}:{}", partner.listen.host, port);
+    endpoint.address = PartnerAddress(i);
     endpoint.destination = partner.destination;
     if (partner.rate > 0) endpoint.rate = partner.rate;
     endpoints.push_back(endpoint);
--- a/src/loadtest/stub/stub_server_set.h
+++ b/src/loadtest/stub/stub_server_set.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "loadtest/proxy/fault_proxy.h"
 #include "loadtest/report/message_record.h"
 #include "loadtest/stub/agent.h"
 #include "loadtest/stub/frontend.h"
@@ -33,6 +34,9 @@
   std::unique_ptr<Registry> registry;
   std::unique_ptr<Sink> sink;
   std::unique_ptr<StubFrontend> frontend;
+  // In the order of `partners`; empty if there are no faults on the paths to them.
+  std::vector<std::unique_ptr<FaultProxy>> partner_proxies;
+  std::unique_ptr<FaultProxy> agent_proxy;
 
   // Called for each observation. If it is unset, observations are collected in `observations`.
   std::function<void(const Observation&)> on_observation;
@@ -41,12 +45,17 @@
   // Returns the timeline's time 0, in microseconds of the monotonic clock.
   std::int64_t started_us() const { return started_us_; }
 
+  // Returns the port at which dispatchers reach the agent.
+  std::uint16_t AgentPort() const { return agent_proxy ? agent_proxy->port() : agent->port(); }
+
   // Returns the entries of the partners in the endpoint list.
   std::vector<ListedEndpoint> ListedEndpoints() const;
 
  private:
   void StartPartners(const StubServerSettings& settings);
+  void StartPartnerProxies(const PathFaults& faults);
   void StartAgent(const StubServerSettings& settings);
+  std::string PartnerAddress(std::size_t i) const;
   void StartRegistry(const Address& address);
   void StartFrontend(const StubServerSettings& settings);
   void StartSink(const Address& address);
--- a/src/loadtest/stub/stub_server_settings.h
+++ b/src/loadtest/stub/stub_server_settings.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "config/schema.h"
+#include "loadtest/proxy/path_faults.h"
 #include "loadtest/stub/agent.h"
 #include "loadtest/stub/checker.h"
 #include "loadtest/stub/partner.h"
@@ -38,6 +39,9 @@
   std::vector<EndpointStateChange> state_changes;
   // Identifies the message of a call to a partner. If it is empty, the submission id identifies the message.
   std::function<Identity(const Call&)> identify;
+  // The faults on the paths to the partners and to the agent. Without a value there is no proxy on the path.
+  std::optional<PathFaults> partner_path_faults;
+  std::optional<PathFaults> agent_path_faults;
   // Whether the partners are started. Otherwise they are only listed, because they run in another process.
   bool serve_partners = true;
 };
--- a/src/loadtest/stub/stub_server_thread.cpp
+++ b/src/loadtest/stub/stub_server_thread.cpp
@@ -50,7 +50,7 @@
 }
 
 void StubServerThread::PublishAddresses() {
-  if (stubs_->agent) agent_port = stubs_->agent->port();
+  if (stubs_->agent) agent_port = stubs_->AgentPort();
   if (stubs_->registry) registry_port = stubs_->registry->port();
   if (stubs_->sink) sink_port = stubs_->sink->port();
   if (stubs_->frontend) frontend_port = stubs_->frontend->port();
