--- a/tests/net/endpoint_pool_races_test.cpp
+++ b/tests/net/endpoint_pool_races_test.cpp
@@ -1,96 +1,9 @@
 // Races at the endpoint pool. In each test, two events happen before the pool is notified of either.
-#include "../app/world.h"
-#include "raw_socket.h"
+#include "endpoint_pool_fixture.h"
 
 namespace sagetally {
 namespace {
 
-const std::string kOkResponse = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
-
-// A listening socket whose accept queue holds one connection. While the queue is full, no further connection
-// is established.
-class RawEndpoint {
- public:
-  RawEndpoint() : listener_(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0)) {
-    assert(::bind(listener_.get(), reinterpret_cast<sockaddr*>(&address_), sizeof address_) == 0);
-    assert(::listen(listener_.get(), 0) == 0);
-    socklen_t size = sizeof address_;
-    getsockname(listener_.get(), reinterpret_cast<sockaddr*>(&address_), &size);
-  }
-  std::uint16_t port() const { return ntohs(address_.sin_port); }
-  // Fills the accept queue, so that new connections are not established until ResumeConnects().
-  void StallConnects() { blocker_ = ConnectToLoopback(port()); }
-  void ResumeConnects() {
-    const FileDescriptor first(Accept());
-    assert(first.get() >= 0);
-    blocker_ = FileDescriptor();
-  }
-  // Returns the descriptor of the next connection, or -1 if there is none.
-  int Accept() { return ::accept4(listener_.get(), nullptr, nullptr, SOCK_NONBLOCK); }
-
- private:
-  sockaddr_in address_ = LoopbackAddress(0);
-  FileDescriptor listener_;
-  FileDescriptor blocker_;  // the connection that fills the queue
-};
-
-void MustSend(const FileDescriptor& fd, const std::string& text) { assert(SendAll(fd, text)); }
-
-// Returns the bytes that have arrived, or an empty string if there are none or the peer has closed.
-std::string Receive(const FileDescriptor& fd) {
-  char text[kRawReadBytes];
-  const ssize_t size = ::recv(fd.get(), text, sizeof text, MSG_DONTWAIT);
-  return size > 0 ? std::string(text, static_cast<std::size_t>(size)) : "";
-}
-
-// A pool with one endpoint, and the outcomes of its calls. Asserts that each call has only one outcome.
-struct PoolFixture {
-  PoolFixture() {
-    std::signal(SIGPIPE, SIG_IGN);
-    SetState(EndpointRecord::State::kUp);
-    request.id = "a";
-  }
-  void SetState(EndpointRecord::State state) {
-    EndpointUpdate update;
-    update.record.endpoint = "s";
-    update.record.state = state;
-    update.address = At(endpoint.port());
-    pool.UpdateEndpoint(update);
-  }
-  void Call(std::uint64_t number, Duration timeout = 5s, std::optional<Duration> write_within = {}) {
-    pool.StartCall({number, &request, "s", timeout, write_within});
-  }
-  FileDescriptor WaitForConnection() {
-    FileDescriptor fd;
-    RunUntil(loop, [&] { return (fd = FileDescriptor(endpoint.Accept())).get() >= 0; });
-    return fd;
-  }
-  FileDescriptor CallOnNewConnection(std::uint64_t number) {
-    Call(number);
-    FileDescriptor fd = WaitForConnection();
-    WaitForCall(fd);
-    return fd;
-  }
-  void WaitForCall(const FileDescriptor& fd) {
-    std::string received;
-    RunUntil(loop, [&] { return (received += Receive(fd)).ends_with("\r\n\r\n"); });
-    assert(received.starts_with("POST /hook "));
-  }
-  Outcome WaitForOutcome(std::uint64_t number) {
-    RunUntil(loop, [&] { return outcomes.contains(number); });
-    return outcomes.at(number);
-  }
-  EventLoop loop;
-  RawEndpoint endpoint;
-  std::map<std::uint64_t, Outcome> outcomes;
-  Duration last_retry_after{0};  // in the last result
-  EndpointPool pool{loop, {1500ms, 15s, 8, 8}, [this](const CallResult& result) {
-                      assert(outcomes.emplace(result.message_number, result.outcome).second);
-                      last_retry_after = result.retry_after;
-                    }};
-  Request request;
-};
-
 // A response that arrives before the call was written must not count as a delivery of a message that was
 // never sent.
 void BytesReceivedBeforeACallAreNotADelivery() {
