Notices: each batch has a connection of its own

What callers saw: messages that ended undelivered and were never told. Cause: NotificationClient posted the next batch on the connection on which a 204 had just come, and a 204 that came twice ended that batch, whatever its own answer was. The class is that of the endpoints' answers: a response is matched to its request by its position on the connection alone. Change: a connection for each batch, so that whatever comes late or twice comes on one that is gone. The same client posts CloudEvents results. Why it works: a connection brings one answer at most, and it is closed with its batch.

--- a/src/net/notification_client.cpp
+++ b/src/net/notification_client.cpp
@@ -78,12 +78,9 @@
 
 void NotificationClient::PostBatch() {
   if (pending_.empty()) return;
-  // After a failure, the old connection may be dead, or may still deliver the response to the batch that was
-  // given up, which would be taken for the response to this batch.
-  if (is_failing_) connection_.reset();
-  if (!connection_) {
-    connection_ = OpenHttpConnection(loop_, address_, {kMaxResponseBytes, kMaxResponseBytes});
-  }
+  // Each batch has a connection of its own. A response that comes twice, or after its batch was given up,
+  // would be taken for the response to the next batch on the same connection.
+  connection_ = OpenHttpConnection(loop_, address_, {kMaxResponseBytes, kMaxResponseBytes});
   evhttp_request* request = evhttp_request_new(OnResponse, this);
   evkeyvalq* headers = evhttp_request_get_output_headers(request);
   evhttp_add_header(headers, "Host", address_.host.c_str());
