Endpoint answers: a repeat, a late or an unasked one no longer ends another call

What callers saw: two calls of a message at once, a message that may not run twice run twice, and messages that were taken and neither delivered nor told. Cause: an answer is matched to a call by its position on the connection alone. The pool took the connection that became idle last, within the same round of the loop, so a copy that came a few ms behind an answer ended the next call; from then on the connection was one answer behind. Change: ResponseTracker holds what is known of a connection (unused, awaiting, verifying, settling, desynchronized). A connection is used again 25 ms after its last answer at the earliest, the longest idle first; 1 s where an unasked answer was seen within a minute, 250 ms at all other endpoints then. An answer with the bytes of one that came within a second before the call is verified if it is a rejection, earlier than three quarters of the shortest of the last eight, or from an endpoint that sent an unasked one: the call stays in flight until another answer has come or would have come. A second one that may be either's counts as may have run. A pause that such an answer asks for is kept at once (RetryAfterReceived). New log events endpoint.unexpected_response, attempt.verifying, endpoint.closed; attempt.completed names the connection; metrics verified_answers and unexpected_answers. Tests changed: endpoint_pool_races and app_endpoints wait for the settling time where they need a connection to be used again; their checks are the same.

--- a/include/sagetally/dispatch_policy.h
+++ b/include/sagetally/dispatch_policy.h
@@ -251,6 +251,17 @@
   LoadReport load_report = {};
 };
 
+// The endpoint has asked for a pause in an answer of which it is not certain yet that it belongs to this
+// attempt. The pause is kept, and the attempt goes on until its AttemptCompleted.
+struct RetryAfterReceived {
+  // Id of the message.
+  std::string id = {};
+  // Number of the attempt, counted from 0 for each message.
+  int attempt = 0;
+  // Nothing may be sent there for this time.
+  Duration retry_after{0};
+};
+
 // A health check has ended. The policy ignores it.
 struct HealthCheckCompleted {
   std::string endpoint = {};
@@ -279,8 +290,9 @@
   Duration time_left{0};
 };
 
-using Event = std::variant<EndpointListUpdated, MessageAccepted, AttemptCompleted, HealthCheckCompleted,
-                           MessageWithdrawn, TimerFired, GossipReceived, ShutdownStarted>;
+using Event =
+    std::variant<EndpointListUpdated, MessageAccepted, AttemptCompleted, RetryAfterReceived,
+                 HealthCheckCompleted, MessageWithdrawn, TimerFired, GossipReceived, ShutdownStarted>;
 
 // Actions.
 
--- a/src/admin/metrics.cpp
+++ b/src/admin/metrics.cpp
@@ -12,6 +12,8 @@
 constexpr const char* kRejectedName = "dropped";
 constexpr const char* kFailedName = "bad_gateway";
 constexpr const char* kAttemptsName = "upstream_tries";
+constexpr const char* kVerifiedResponsesName = "verified_answers";
+constexpr const char* kUnexpectedResponsesName = "unexpected_answers";
 constexpr const char* kInProgressName = "in_progress";
 constexpr const char* kKnownEndpointsName = "known_endpoints";
 constexpr const char* kAvoidedEndpointsName = "skipped_endpoints";
@@ -77,6 +79,8 @@
   AppendGauge(text, kInProgressName, gauges.in_progress);
   AppendGauge(text, kKnownEndpointsName, gauges.known_endpoints);
   AppendGauge(text, kAvoidedEndpointsName, gauges.avoided_endpoints);
+  if (verified_responses_ > 0) AppendCounter(text, kVerifiedResponsesName, verified_responses_);
+  if (unexpected_responses_ > 0) AppendCounter(text, kUnexpectedResponsesName, unexpected_responses_);
   return text;
 }
 
--- a/src/admin/metrics.h
+++ b/src/admin/metrics.h
@@ -37,9 +37,13 @@
   void RecordRejection(int message_class) override;
   // Counts an attempt: a call whose last byte has been written to an endpoint.
   void RecordCallWritten() override { ++attempts_; }
+  // Counts a response that was not accepted at once, because it may be a repeat of an earlier one.
+  void RecordVerifiedResponse() { ++verified_responses_; }
+  // Counts a response that came on an endpoint's connection without a call that asked for it.
+  void RecordUnexpectedResponse() { ++unexpected_responses_; }
 
-  // Returns the counters and gauges in the statsd line format, for example "balancer.passed.aviso:812|c" and
-  // "balancer.in_progress:14|g".
+  // Returns the counters and gauges, and of verified and unexpected responses those above 0, in the statsd
+  // line format, for example "balancer.passed.aviso:812|c" and "balancer.in_progress:14|g".
   std::string FormatStatsd(const GaugeValues& gauges) const;
 
  private:
@@ -55,6 +59,8 @@
   const std::vector<std::string> classes_;
   std::vector<ClassCounts> counts_;  // indexed by class
   std::uint64_t attempts_ = 0;
+  std::uint64_t verified_responses_ = 0;
+  std::uint64_t unexpected_responses_ = 0;
 };
 
 }  // namespace sagetally
--- a/src/app/dispatcher.cpp
+++ b/src/app/dispatcher.cpp
@@ -60,6 +60,8 @@
       admin_(loop_, log_, readiness_, client_servers_, metrics_, clock_, [this] { return Gauges(); }),
       shutdown_(loop_, client_servers_, [this] { return HasPendingWork(); }) {
   endpoint_pool_.on_call_written = [this] { metrics_.RecordCallWritten(); };
+  endpoint_pool_.on_provisional_result = [this](const CallResult& result) { OnProvisionalResult(result); };
+  request_log_.Observe(endpoint_pool_, messages_, [this] { metrics_.RecordUnexpectedResponse(); });
   readiness_.can_record = [this] { return journal_.journal().is_writable(); };
   pipeline_.admission_controller.is_accepting = [this] { return readiness_.IsAccepting(clock_.Now()); };
 }
@@ -187,6 +189,14 @@
   shutdown_.ExitIfDone();
 }
 
+void Dispatcher::OnProvisionalResult(const CallResult& result) {
+  metrics_.RecordVerifiedResponse();
+  if (const Message* message = messages_.Find(result.message_number)) {
+    request_log_.OnProvisionalResult(*message, result);
+  }
+  if (!handed_over()) pipeline_.outcome_handler.OnProvisionalResult(result);
+}
+
 void Dispatcher::OnNotificationAcknowledged(std::uint64_t number) {
   pipeline_.completion_handler.OnNotificationAcknowledged(number);
 }
--- a/src/app/dispatcher.h
+++ b/src/app/dispatcher.h
@@ -96,6 +96,7 @@
   // Operation.
   void RunPolicy();
   void OnCallResult(const CallResult& result);
+  void OnProvisionalResult(const CallResult& result);
   // Breaks the event loop for `reason`, because another process is responsible for all messages now.
   void Fail(const std::string& reason);
   // The number of pending messages for which this process is responsible.
--- a/src/app/request_log.cpp
+++ b/src/app/request_log.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cstring>
+#include <utility>
 
 #include "dead_letter/wire_names.h"
 
@@ -44,6 +45,26 @@
   return "server_stopped";
 }
 
+const char* CloseReasonName(EndpointCloseReason reason) {
+  switch (reason) {
+    case EndpointCloseReason::kUnexpectedResponse:
+      return "unexpected_response";
+    case EndpointCloseReason::kNotReusable:
+      return "not_reusable";
+    case EndpointCloseReason::kEndedByEndpoint:
+      return "ended_by_endpoint";
+    case EndpointCloseReason::kIdleTimeout:
+      return "idle_timeout";
+    case EndpointCloseReason::kEvicted:
+      return "evicted";
+    case EndpointCloseReason::kEndpointChanged:
+      return "endpoint_changed";
+    case EndpointCloseReason::kShutdown:
+      break;
+  }
+  return "shutdown";
+}
+
 // Returns whether a connection was closed in a normal way: by its client, after its last response, or by its
 // transfer to another process, and in each case without an unanswered request or an unwritten response.
 bool IsNormalClose(const HttpServer::ClosedConnection& closed) {
@@ -69,6 +90,36 @@
   server.on_connection_refused = [this] { log_.Info("client.refused", {{"reason", "no_place"}}); };
 }
 
+void RequestLog::Observe(EndpointPool& pool, MessageTable& messages,
+                         std::function<void()> on_unexpected_response) {
+  pool.on_unexpected_response = [this, &messages, on_unexpected_response = std::move(on_unexpected_response)](
+                                    const UnexpectedResponse& response) {
+    OnUnexpectedResponse(response, messages.Find(response.message_number));
+    on_unexpected_response();
+  };
+  pool.on_connection_closed = [this](const ClosedEndpointConnection& closed) {
+    OnEndpointConnectionClosed(closed);
+  };
+}
+
+void RequestLog::OnUnexpectedResponse(const UnexpectedResponse& response, const Message* message) {
+  log_.Warn("endpoint.unexpected_response", {{"id", message == nullptr ? "" : message->request.id},
+                                             {"number", response.message_number},
+                                             {"address", response.endpoint_address},
+                                             {"connection", response.connection_number},
+                                             {"since_call_ms", ToMilliseconds(response.since_call)},
+                                             {"during_call", response.is_during_call}});
+}
+
+void RequestLog::OnEndpointConnectionClosed(const ClosedEndpointConnection& closed) {
+  if (!log_.IsEnabled(LogLevel::kDebug)) return;
+  log_.Write(LogLevel::kDebug, "endpoint.closed",
+             {{"connection", closed.number},
+              {"address", closed.endpoint_address},
+              {"reason", CloseReasonName(closed.reason)},
+              {"calls", closed.call_count}});
+}
+
 void RequestLog::OnRequest(const Exchange& exchange) {
   if (!log_.IsEnabled(LogLevel::kDebug)) return;
   log_.Write(LogLevel::kDebug, "request.received",
@@ -119,10 +170,19 @@
              {{"id", message.request.id},
               {"attempt", message.attempts},
               {"endpoint", message.in_flight_endpoint},
+              {"connection", result.connection_number},
               {"outcome", std::string(dead_letter::Name(result.outcome))},
               {"retry_after_ms", ToMilliseconds(result.retry_after)}});
 }
 
+void RequestLog::OnProvisionalResult(const Message& message, const CallResult& result) {
+  log_.Info("attempt.verifying", {{"id", message.request.id},
+                                  {"attempt", message.attempts},
+                                  {"endpoint", message.in_flight_endpoint},
+                                  {"connection", result.connection_number},
+                                  {"outcome", std::string(dead_letter::Name(result.outcome))}});
+}
+
 void RequestLog::OnUndelivered(const Message& message) {
   log_.Info("message.undelivered", {{"id", message.request.id},
                                     {"status", std::string(dead_letter::Name(message.final_status))},
--- a/src/app/request_log.h
+++ b/src/app/request_log.h
@@ -5,10 +5,12 @@
 #ifndef SAGETALLY_SRC_APP_REQUEST_LOG_H_
 #define SAGETALLY_SRC_APP_REQUEST_LOG_H_
 
+#include <functional>
 #include <string>
 
-#include "core/message.h"
+#include "core/message_table.h"
 #include "logging/logger.h"
+#include "net/endpoint_pool.h"
 #include "net/http_server.h"
 
 namespace sagetally {
@@ -28,12 +30,20 @@
   void OnAttemptStarted(const Message& message, const CallRequest& call);
   // Logs the outcome of the last attempt to deliver `message`.
   void OnAttemptCompleted(const Message& message, const CallResult& result);
+  // Logs a response that may be a repeat of an earlier one, and is verified before it counts.
+  void OnProvisionalResult(const Message& message, const CallResult& result);
+  // Sets the callbacks of `pool` so that the ends of its connections are logged, and what came on them that
+  // no call asked for. `messages` is where the calls' messages are found. Both must outlive this object's
+  // use. Each unexpected response is passed to `on_unexpected_response` too.
+  void Observe(EndpointPool& pool, MessageTable& messages, std::function<void()> on_unexpected_response);
   // Logs that `message` has completed without being delivered.
   void OnUndelivered(const Message& message);
 
  private:
   void OnResponse(const Exchange& exchange, int status, const std::string& body);
   void OnConnectionClosed(const HttpServer::ClosedConnection& closed);
+  void OnUnexpectedResponse(const UnexpectedResponse& response, const Message* message);
+  void OnEndpointConnectionClosed(const ClosedEndpointConnection& closed);
 
   Logger& log_;
 };
--- a/src/core/message.h
+++ b/src/core/message.h
@@ -138,6 +138,7 @@
   bool message_expired = false;  // the endpoint reports that nobody waits for the message any more
   Duration retry_after{0};       // as requested by the endpoint; 0: not stated
   LoadReport load_report = {};
+  std::uint64_t connection_number = 0;  // of the connection that carried the call; 0: there was none
 };
 
 // One entry of an endpoint list.
--- a/src/net/endpoint_call_codec.cpp
+++ b/src/net/endpoint_call_codec.cpp
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cmath>
 #include <cstdint>
+#include <functional>
 #include <optional>
 
 #include "net/http_parsing.h"
@@ -83,6 +84,15 @@
   return result;
 }
 
+std::size_t Fingerprint(const EndpointResponse& response) {
+  std::string text = std::to_string(response.result_int());
+  for (const auto& field : response) {
+    text += HeaderLine(std::string(field.name_string()), std::string(field.value()));
+  }
+  text += "\r\n" + response.body();
+  return std::hash<std::string>()(text);
+}
+
 LoadReport ParseLoadReport(std::string_view text) {
   LoadReport report;
   while (!text.empty()) {
--- a/src/net/endpoint_call_codec.h
+++ b/src/net/endpoint_call_codec.h
@@ -22,6 +22,9 @@
 // `message_number` is not set.
 CallResult DecodeCallResult(const EndpointResponse& response);
 
+// Returns a hash of the status, the headers and the body. Equal for repeated responses.
+std::size_t Fingerprint(const EndpointResponse& response);
+
 // Parses the value of an X-Load header, such as "x0=0.4,x1=25". Returns an empty report if any part of it is
 // malformed.
 LoadReport ParseLoadReport(std::string_view text);
--- a/src/net/endpoint_connection.cpp
+++ b/src/net/endpoint_connection.cpp
@@ -26,11 +26,17 @@
 // route before the call fails. The delay before the next attempt doubles each time.
 constexpr int kMaxConnectAttempts = 6;
 
+ResponseKind KindOf(Outcome outcome) {
+  if (outcome == Outcome::kOk) return ResponseKind::kSuccess;
+  return outcome == Outcome::kError ? ResponseKind::kFailure : ResponseKind::kRejection;
+}
+
 }  // namespace
 
-EndpointConnection::EndpointConnection(EventLoop& loop, Timeouts timeouts, PooledEndpoint& endpoint,
-                                       Owner& owner)
+EndpointConnection::EndpointConnection(EventLoop& loop, std::uint64_t number, Timeouts timeouts,
+                                       PooledEndpoint& endpoint, Owner& owner)
     : owner_(owner),
+      number_(number),
       endpoint_(endpoint),
       timeouts_(timeouts),
       opened_address_(endpoint.address_text),
@@ -42,6 +48,7 @@
       late_response_timer_(loop, [this] { FinishWithoutResponse(*abandoned_as_); }),
       idle_timer_(loop, [this] { owner_.OnUnusable(*this); }),
       write_timer_(loop, [this] { OnWriteDeadline(); }),
+      verification_timer_(loop, [this] { OnVerificationTimeout(); }),
       reader_(loop, [this] { OnInvalidResponse(); }) {
   bufferevent_setcb(buffers_.get(), OnReadable, OnOutputDrained, OnEvent, this);
   bufferevent_setwatermark(buffers_.get(), EV_READ, 0, ResponseReader::kMaxUnparsedBytes);
@@ -66,7 +73,8 @@
 }
 
 bool EndpointConnection::IsUsable() const {
-  return opened_address_ == endpoint_.address_text && !endpoint_.is_removed && NothingReceived();
+  return tracker_.state() != ResponseTracker::State::kDesynchronized &&
+         opened_address_ == endpoint_.address_text && !endpoint_.is_removed && NothingReceived();
 }
 
 bool EndpointConnection::IsWritten() const {
@@ -80,6 +88,27 @@
          IsTransientSocketError(errno);
 }
 
+bool EndpointConnection::HasUnreadBytes() const {
+  char byte = 0;
+  return evbuffer_get_length(input()) > 0 || ::recv(socket(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+void EndpointConnection::ReportUnexpectedBytes() {
+  if (!has_call_ && HasUnreadBytes()) ReportUnexpectedResponse();
+}
+
+void EndpointConnection::ReportUnexpectedResponse() {
+  if (tracker_.state() == ResponseTracker::State::kDesynchronized) return;
+  tracker_.OnUnexpectedResponse();
+  UnexpectedResponse response;
+  response.endpoint_address = opened_address_;
+  response.connection_number = number_;
+  response.message_number = message_number_;
+  response.since_call = tracker_.SinceCall(std::chrono::steady_clock::now());
+  response.is_during_call = has_call_;
+  owner_.OnUnexpectedResponse(*this, response);
+}
+
 void EndpointConnection::StartCall(const CallRequest& call) {
   message_number_ = call.message_number;
   has_call_ = true;
@@ -104,6 +133,7 @@
 
 void EndpointConnection::AbandonCall(Outcome outcome) {
   if (abandoned_as_) return;
+  if (candidate_) return FinishWithCandidate(false);
   if (!IsWritten()) return FinishWithoutResponse(Outcome::kConnectFailed);
   if (reader_.has_ok_status()) return FinishWithoutResponse(outcome);
   abandoned_as_ = outcome;
@@ -126,7 +156,7 @@
   buffers_.reset();
   reader_.Stop();
   for (Timer* timer : {&connect_timer_, &connect_retry_timer_, &call_timer_, &late_response_timer_,
-                       &idle_timer_, &write_timer_}) {
+                       &idle_timer_, &write_timer_, &verification_timer_}) {
     timer->Stop();
   }
 }
@@ -151,6 +181,7 @@
 void EndpointConnection::ReportWritten() {
   if (!has_call_ || is_write_reported_ || !IsWritten()) return;
   is_write_reported_ = true;
+  tracker_.OnCallWritten(std::chrono::steady_clock::now());
   owner_.OnCallWritten();
 }
 
@@ -162,21 +193,32 @@
   ReportWritten();  // the response may be read before libevent reports that the call was written
   has_call_ = false;
   reader_.Stop();
-  for (Timer* timer : {&connect_timer_, &call_timer_, &late_response_timer_, &write_timer_}) timer->Stop();
+  candidate_.reset();
+  for (Timer* timer :
+       {&connect_timer_, &call_timer_, &late_response_timer_, &write_timer_, &verification_timer_}) {
+    timer->Stop();
+  }
   if (responded_early_ && result.outcome != Outcome::kRejected) result.outcome = Outcome::kConnectFailed;
   // The endpoint may have given the call up as well and not count its response as a delivery, so the outcome
   // of a response to an abandoned call is ignored. Its retry-after time is passed on.
   if (abandoned_as_) result.outcome = *abandoned_as_;
   result.message_number = message_number_;
+  result.connection_number = number_;
   owner_.OnCallFinished(*this, result, completion);
 }
 
 // A response means that the call has run, so the outcome is kError. The connection can't be used any more.
-void EndpointConnection::OnInvalidResponse() { FinishWithoutResponse(Outcome::kError); }
+void EndpointConnection::OnInvalidResponse() {
+  if (candidate_) ReportUnexpectedResponse();
+  FinishWithoutResponse(Outcome::kError);
+}
 
 void EndpointConnection::Read() {
-  if (!has_call_) return owner_.OnUnusable(*this);  // the bytes are no response to a call
-  if (!is_connected_) return;                       // OnConnected() reads them
+  if (!has_call_) {
+    ReportUnexpectedResponse();
+    return owner_.OnUnusable(*this);
+  }
+  if (!is_connected_) return;  // OnConnected() reads them
   if (!IsWritten()) {
     responded_early_ = true;
     resumer_.KeepPaused(EV_WRITE);
@@ -198,9 +240,75 @@
   is_accepted_by_endpoint_ = is_accepted_by_endpoint_ || response.result_int() != kServiceUnavailable;
   const bool is_reusable =
       reader_.keep_alive() && is_accepted_by_endpoint_ && !responded_early_ && !abandoned_as_;
+  if (candidate_) return FinishWithSecondResponse(result);
+  if (StartVerification(result, is_reusable)) return;
   FinishCall(result, {.is_reusable = is_reusable, .needs_report_delay = false});
 }
 
+ResponseTracker::Response EndpointConnection::DescribeResponse() const {
+  ResponseTracker::Response response;
+  response.fingerprint = Fingerprint(reader_.response());
+  response.kind = KindOf(DecodeCallResult(reader_.response()).outcome);
+  response.received_at = std::chrono::steady_clock::now();
+  return response;
+}
+
+// Returns whether the response may be a repeat of an earlier one. If so, the call stays in flight until its
+// own response has come, or until that would have come.
+bool EndpointConnection::StartVerification(const CallResult& result, bool is_reusable) {
+  ReportWritten();  // the response may be read before libevent reports that the call was written
+  if (abandoned_as_ || !is_write_reported_) return false;
+  const ResponseTracker::Response response = DescribeResponse();
+  tracker_.OnResponse(response, endpoint_.response_times, endpoint_.trust.IsDistrusted(response.received_at));
+  if (tracker_.state() != ResponseTracker::State::kVerifying) {
+    endpoint_.response_times.Add(response.kind, tracker_.SinceCall(response.received_at));
+    return false;
+  }
+  candidate_ = Candidate{result, response.fingerprint, is_reusable, response.received_at};
+  candidate_->result.message_number = message_number_;
+  candidate_->result.connection_number = number_;
+  verification_timer_.Schedule(tracker_.VerificationTime(endpoint_.response_times, response.received_at));
+  owner_.OnVerificationStarted(candidate_->result);
+  ExpectAnotherResponse();
+  return true;
+}
+
+void EndpointConnection::OnVerificationTimeout() {
+  if (reader_.has_begun()) return;  // the response timeout applies
+  if (tracker_.state() == ResponseTracker::State::kDesynchronized) return FinishWithCandidate(false);
+  tracker_.OnVerified();
+  FinishWithCandidate(candidate_->is_reusable);
+}
+
+void EndpointConnection::FinishWithCandidate(bool is_reusable) {
+  CallResult result = candidate_->result;
+  const auto age = std::chrono::steady_clock::now() - candidate_->received_at;
+  result.retry_after = std::max(Duration(0), result.retry_after - std::chrono::duration_cast<Duration>(age));
+  FinishCall(result, {.is_reusable = is_reusable, .needs_report_delay = !is_reusable});
+}
+
+// One of the two responses is a repeat. Equal ones may both be repeats, so a further response is awaited. If
+// either one may be a repeat, the call may have run. Otherwise the second one is the call's own.
+void EndpointConnection::FinishWithSecondResponse(const CallResult& second) {
+  const ResponseTracker::Response response = DescribeResponse();
+  ReportUnexpectedResponse();
+  if (response.fingerprint == candidate_->fingerprint) {
+    ExpectAnotherResponse();
+    return;
+  }
+  CallResult result = second;
+  const bool is_ambiguous = second.outcome != candidate_->result.outcome && tracker_.IsRepeat(response);
+  if (is_ambiguous) result.outcome = Outcome::kReset;
+  FinishCall(result, {.is_reusable = false, .needs_report_delay = true});
+}
+
+// Reads on while the call keeps its candidate.
+void EndpointConnection::ExpectAnotherResponse() {
+  reader_.Stop();
+  reader_.ExpectResponse();
+  if (evbuffer_get_length(input()) > 0) Read();
+}
+
 void EndpointConnection::OnReadable(bufferevent*, void* self) {
   static_cast<EndpointConnection*>(self)->Read();
 }
@@ -235,6 +343,8 @@
 void EndpointConnection::OnClosedByPeer(short events) {
   if (!has_call_) return owner_.OnUnusable(*this);
   if ((events & BEV_EVENT_EOF) != 0 && reader_.ReadEndOfStream()) return FinishWithResponse();
+  const bool is_distrusted = endpoint_.trust.IsDistrusted(std::chrono::steady_clock::now());
+  if (candidate_ && !reader_.has_begun() && !is_distrusted) return FinishWithCandidate(false);
   FinishWithoutResponse(IsWritten() ? Outcome::kReset : Outcome::kConnectFailed);
 }
 
--- a/src/net/endpoint_connection.h
+++ b/src/net/endpoint_connection.h
@@ -12,8 +12,11 @@
 #include <vector>
 
 #include "core/message.h"
+#include "net/endpoint_trust.h"
 #include "net/event_loop.h"
 #include "net/response_reader.h"
+#include "net/response_times.h"
+#include "net/response_tracker.h"
 #include "net/transfer_resumer.h"
 
 namespace sagetally {
@@ -34,6 +37,17 @@
   std::vector<EndpointConnection*> idle_connections;  // the one that has been idle longest comes first
   int open_connection_count = 0;
   bool is_removed = false;  // the current endpoint list does not contain it
+  EndpointTrust trust;
+  ResponseTimes response_times;
+};
+
+// A response, or a part of one, that no call can have asked for.
+struct UnexpectedResponse {
+  std::string endpoint_address;
+  std::uint64_t connection_number = 0;
+  std::uint64_t message_number = 0;  // whose call the connection carries or carried last
+  Duration since_call{0};            // from the last byte of that call
+  bool is_during_call = false;       // a second response came to the call, rather than one after it
 };
 
 // One connection and the call that it carries.
@@ -61,6 +75,11 @@
     // Called once for each call, with its result.
     virtual void OnCallFinished(EndpointConnection& connection, const CallResult& result,
                                 CallCompletion completion) = 0;
+    // Called when the response with this result may be a repeat of an earlier one, so that another one is
+    // awaited. `result` is not final.
+    virtual void OnVerificationStarted(const CallResult& result) = 0;
+    // Called when a response has come that no call asked for. OnCallFinished() or OnUnusable() follows.
+    virtual void OnUnexpectedResponse(EndpointConnection& connection, const UnexpectedResponse& response) = 0;
     // Called when the connection can't carry another call. The owner must Close() it now and delete it after
     // this callback has returned.
     virtual void OnUnusable(EndpointConnection& connection) = 0;
@@ -68,15 +87,24 @@
 
   // Starts to connect to the endpoint. `loop` must outlive the connection. `endpoint` and `owner` must stay
   // valid until Close().
-  EndpointConnection(EventLoop& loop, Timeouts timeouts, PooledEndpoint& endpoint, Owner& owner);
+  // `number` tells the connections of the process apart in the log.
+  EndpointConnection(EventLoop& loop, std::uint64_t number, Timeouts timeouts, PooledEndpoint& endpoint,
+                     Owner& owner);
   EndpointConnection(const EndpointConnection&) = delete;
   EndpointConnection& operator=(const EndpointConnection&) = delete;
 
   PooledEndpoint& endpoint() { return endpoint_; }
+  std::uint64_t number() const { return number_; }
+  const std::string& opened_address() const { return opened_address_; }
+  ResponseTracker::State state() const { return tracker_.state(); }
+  // The number of calls that were written.
+  std::uint64_t call_count() const { return tracker_.call_count(); }
   // The number of the message whose call the connection carries or, when idle, carried last.
   std::uint64_t message_number() const { return message_number_; }
   // When BecomeIdle() was called last.
   std::chrono::steady_clock::time_point idle_since() const { return idle_since_; }
+  // Reports bytes that have arrived although no call is in flight, if there are any.
+  void ReportUnexpectedBytes();
   // Returns whether the connection may carry another call: it was opened to the endpoint's current address,
   // the endpoint was not removed, and neither bytes nor a close nor a reset have arrived unexpectedly.
   bool IsUsable() const;
@@ -110,14 +138,31 @@
   void WriteCall();
   void ReportWritten();
   void FinishWithResponse();
+  bool StartVerification(const CallResult& result, bool is_reusable);
+  void OnVerificationTimeout();
+  void FinishWithCandidate(bool is_reusable);
+  void FinishWithSecondResponse(const CallResult& second);
+  void ExpectAnotherResponse();
+  void ReportUnexpectedResponse();
+  ResponseTracker::Response DescribeResponse() const;
   void OnInvalidResponse();
   void FinishCall(CallResult result, CallCompletion completion);
   bool NothingReceived() const;
+  bool HasUnreadBytes() const;
   evbuffer* input() const { return bufferevent_get_input(buffers_.get()); }
   evbuffer* output() const { return bufferevent_get_output(buffers_.get()); }
   int socket() const { return bufferevent_getfd(buffers_.get()); }
 
+  // A response that may be a repeat of an earlier one, while another one is awaited.
+  struct Candidate {
+    CallResult result;
+    std::size_t fingerprint = 0;
+    bool is_reusable = false;
+    std::chrono::steady_clock::time_point received_at{};
+  };
+
   Owner& owner_;
+  const std::uint64_t number_;
   PooledEndpoint& endpoint_;
   const Timeouts timeouts_;
   const std::string opened_address_;  // the address to which the connection was opened
@@ -128,8 +173,11 @@
   Timer call_timer_;
   Timer late_response_timer_;  // ends the wait for a response after the call was abandoned
   Timer idle_timer_;
-  Timer write_timer_;  // fires at write_deadline_
+  Timer write_timer_;         // fires at write_deadline_
+  Timer verification_timer_;  // ends the wait for another response
   ResponseReader reader_;
+  ResponseTracker tracker_;
+  std::optional<Candidate> candidate_;
   std::uint64_t message_number_ = 0;
   int connect_attempts_ = 0;
   bool has_call_ = false;
--- a/src/net/endpoint_pool.cpp
+++ b/src/net/endpoint_pool.cpp
@@ -8,6 +8,16 @@
 
 namespace sagetally {
 
+namespace {
+
+EndpointCloseReason ReasonAfterCall(const EndpointConnection& connection) {
+  return connection.state() == ResponseTracker::State::kDesynchronized
+             ? EndpointCloseReason::kUnexpectedResponse
+             : EndpointCloseReason::kNotReusable;
+}
+
+}  // namespace
+
 EndpointPool::EndpointPool(EventLoop& loop, Limits limits, std::function<void(const CallResult&)> on_result)
     : loop_(loop),
       limits_(limits),
@@ -62,31 +72,37 @@
   PooledEndpoint& endpoint = found->second;
   EndpointConnection* connection = TakeIdleConnection(endpoint);
   if (connection == nullptr) {
-    if (!HasCapacity(endpoint)) return ReportSoon(connect_failed);
+    if (!EnsureEndpointSlot(endpoint) || !EnsureConnectionSlot()) return ReportSoon(connect_failed);
     connection = OpenConnection(endpoint);
   }
   connections_by_message_[call.message_number] = connection;
   connection->StartCall(call);
 }
 
-// Returns the usable connection that became idle last, or null if there is none. Closes the unusable ones
-// that it finds on the way.
+// Returns the usable connection that has been idle longest, or null if none has been idle for the settling
+// time. Closes the unusable ones that it finds on the way.
 EndpointConnection* EndpointPool::TakeIdleConnection(PooledEndpoint& endpoint) {
+  const auto now = std::chrono::steady_clock::now();
   while (!endpoint.idle_connections.empty()) {
-    EndpointConnection* connection = endpoint.idle_connections.back();
+    EndpointConnection* connection = endpoint.idle_connections.front();
     if (connection->IsUsable()) {
-      endpoint.idle_connections.pop_back();
+      if (now - connection->idle_since() < SettlingTime(endpoint.trust, trust_, now)) return nullptr;
+      endpoint.idle_connections.erase(endpoint.idle_connections.begin());
       return connection;
     }
-    CloseConnection(*connection);
+    connection->ReportUnexpectedBytes();
+    CloseConnection(*connection, ReasonWhyUnusable(*connection));
   }
   return nullptr;
 }
 
-// Returns whether a connection may be opened to the endpoint. Closes an idle connection to any endpoint if
-// the limit of all connections is reached.
-bool EndpointPool::HasCapacity(const PooledEndpoint& endpoint) {
-  return endpoint.open_connection_count < limits_.max_connections_per_endpoint && EnsureConnectionSlot();
+// At the limit of connections to the endpoint, closes the one that became idle last. Returns false if the
+// limit is reached and none is idle.
+bool EndpointPool::EnsureEndpointSlot(PooledEndpoint& endpoint) {
+  if (endpoint.open_connection_count < limits_.max_connections_per_endpoint) return true;
+  if (endpoint.idle_connections.empty()) return false;
+  CloseConnection(*endpoint.idle_connections.back(), EndpointCloseReason::kEvicted);
+  return true;
 }
 
 // At the limit of all connections, closes the one that has been idle longest, to whatever endpoint. Returns
@@ -102,14 +118,15 @@
     }
   }
   if (longest_idle == nullptr) return false;
-  CloseConnection(*longest_idle);
+  CloseConnection(*longest_idle, EndpointCloseReason::kEvicted);
   return true;
 }
 
 EndpointConnection* EndpointPool::OpenConnection(PooledEndpoint& endpoint) {
   const EndpointConnection::Timeouts timeouts{limits_.connect_timeout, limits_.idle_timeout};
   EndpointConnection::Owner& owner = *this;  // a private base
-  auto owned = std::make_unique<EndpointConnection>(loop_, timeouts, endpoint, owner);
+  auto owned =
+      std::make_unique<EndpointConnection>(loop_, ++opened_connection_count_, timeouts, endpoint, owner);
   EndpointConnection* connection = owned.get();
   endpoint.open_connection_count += 1;
   connections_[connection] = std::move(owned);
@@ -130,8 +147,12 @@
 void EndpointPool::CloseIdleConnections(const std::string& endpoint) {
   const auto found = endpoints_.find(endpoint);
   if (found == endpoints_.end()) return;
-  const std::vector<EndpointConnection*> idle = found->second.idle_connections;
-  for (EndpointConnection* connection : idle) CloseConnection(*connection);
+  CloseIdleConnections(found->second, EndpointCloseReason::kEndpointChanged);
+}
+
+void EndpointPool::CloseIdleConnections(const PooledEndpoint& endpoint, EndpointCloseReason reason) {
+  const std::vector<EndpointConnection*> idle = endpoint.idle_connections;
+  for (EndpointConnection* connection : idle) CloseConnection(*connection, reason);
 }
 
 void EndpointPool::Shutdown() {
@@ -140,13 +161,20 @@
   for (const auto& [name, endpoint] : endpoints_) {
     idle.insert(idle.end(), endpoint.idle_connections.begin(), endpoint.idle_connections.end());
   }
-  for (EndpointConnection* connection : idle) CloseConnection(*connection);
+  for (EndpointConnection* connection : idle) CloseConnection(*connection, EndpointCloseReason::kShutdown);
 }
 
 void EndpointPool::OnCallWritten() {
   if (on_call_written) on_call_written();
 }
 
+void EndpointPool::OnUnexpectedResponse(EndpointConnection& connection, const UnexpectedResponse& response) {
+  const auto now = std::chrono::steady_clock::now();
+  connection.endpoint().trust.OnUnexpectedResponse(now);
+  trust_.OnUnexpectedResponse(now);
+  if (on_unexpected_response) on_unexpected_response(response);
+}
+
 void EndpointPool::OnCallFinished(EndpointConnection& connection, const CallResult& result,
                                   EndpointConnection::CallCompletion completion) {
   connections_by_message_.erase(connection.message_number());
@@ -154,7 +182,9 @@
     connection.BecomeIdle();
     connection.endpoint().idle_connections.push_back(&connection);
   } else {
-    CloseConnection(connection);
+    if (completion.is_reusable) connection.ReportUnexpectedBytes();
+    CloseConnection(connection,
+                    is_shutting_down_ ? EndpointCloseReason::kShutdown : ReasonAfterCall(connection));
   }
   if (completion.needs_report_delay) {
     ReportDelayed(result);
@@ -176,6 +206,9 @@
 }
 
 void EndpointPool::ReportImmediateResults() {
+  for (const CallResult& result : std::exchange(provisional_results_, {})) {
+    if (on_provisional_result) on_provisional_result(result);
+  }
   for (const CallResult& result : std::exchange(immediate_results_, {})) on_result_(result);
 }
 
@@ -189,9 +222,19 @@
   }
 }
 
-void EndpointPool::CloseConnection(EndpointConnection& connection) {
+EndpointCloseReason EndpointPool::ReasonWhyUnusable(EndpointConnection& connection) {
+  if (connection.state() == ResponseTracker::State::kDesynchronized) {
+    return EndpointCloseReason::kUnexpectedResponse;
+  }
+  return connection.IsUsable() ? EndpointCloseReason::kIdleTimeout : EndpointCloseReason::kEndedByEndpoint;
+}
+
+void EndpointPool::CloseConnection(EndpointConnection& connection, EndpointCloseReason reason) {
   const auto found = connections_.find(&connection);
   if (found == connections_.end()) return;
+  if (on_connection_closed) {
+    on_connection_closed({connection.number(), connection.opened_address(), reason, connection.call_count()});
+  }
   connection.Close();
   PooledEndpoint& endpoint = connection.endpoint();
   std::erase(endpoint.idle_connections, &connection);
--- a/src/net/endpoint_pool.h
+++ b/src/net/endpoint_pool.h
@@ -23,6 +23,25 @@
 
 namespace sagetally {
 
+// Why a connection to an endpoint was closed.
+enum class EndpointCloseReason {
+  kUnexpectedResponse,  // a response came that no call asked for
+  kNotReusable,         // after its call, which ended without a whole response or with one that says so
+  kEndedByEndpoint,     // the endpoint closed or reset it between two calls
+  kIdleTimeout,
+  kEvicted,          // gave way to a new connection
+  kEndpointChanged,  // the endpoint has another address, drains or was removed
+  kShutdown
+};
+
+// A connection that is about to be closed.
+struct ClosedEndpointConnection {
+  std::uint64_t number = 0;
+  std::string endpoint_address;
+  EndpointCloseReason reason = EndpointCloseReason::kNotReusable;
+  std::uint64_t call_count = 0;  // calls that were written on it
+};
+
 // Owns the connections to all endpoints. Used on the event loop's thread only. Results are reported in a
 // later callback of the loop, never within a call of a member function.
 class EndpointPool : public EndpointClient, private EndpointConnection::Owner {
@@ -58,6 +77,12 @@
   void RemoveEndpoint(const std::string& endpoint) override;
   // Called when the last byte of a call was written. May be empty.
   std::function<void()> on_call_written;
+  // The following are called when a response may be a repeat, so that its result is not final, when an
+  // endpoint has sent a response that no call asked for, and before a connection is closed. Each may be
+  // empty.
+  std::function<void(const CallResult&)> on_provisional_result;
+  std::function<void(const UnexpectedResponse&)> on_unexpected_response;
+  std::function<void(const ClosedEndpointConnection&)> on_connection_closed;
   // Closes idle connections now, and the others as soon as their calls are finished. To be called when no
   // further calls are expected.
   void Shutdown();
@@ -77,18 +102,27 @@
   void OnCallWritten() override;
   void OnCallFinished(EndpointConnection& connection, const CallResult& result,
                       EndpointConnection::CallCompletion completion) override;
-  void OnUnusable(EndpointConnection& connection) override { CloseConnection(connection); }
+  void OnUnexpectedResponse(EndpointConnection& connection, const UnexpectedResponse& response) override;
+  void OnVerificationStarted(const CallResult& result) override {
+    provisional_results_.push_back(result);
+    immediate_timer_.Schedule(Duration(0));
+  }
+  void OnUnusable(EndpointConnection& connection) override {
+    CloseConnection(connection, ReasonWhyUnusable(connection));
+  }
 
   EndpointConnection* OpenConnection(PooledEndpoint& endpoint);
   EndpointConnection* TakeIdleConnection(PooledEndpoint& endpoint);
-  bool HasCapacity(const PooledEndpoint& endpoint);
+  bool EnsureEndpointSlot(PooledEndpoint& endpoint);
   bool EnsureConnectionSlot();
   void CancelUnsentCallsTo(const PooledEndpoint& endpoint);
   void ReportSoon(const CallResult& result);
   void ReportDelayed(const CallResult& result);
   void ReportImmediateResults();
   void ReportDelayedResults();
-  void CloseConnection(EndpointConnection& connection);
+  static EndpointCloseReason ReasonWhyUnusable(EndpointConnection& connection);
+  void CloseIdleConnections(const PooledEndpoint& endpoint, EndpointCloseReason reason);
+  void CloseConnection(EndpointConnection& connection, EndpointCloseReason reason);
 
   EventLoop& loop_;
   const Limits limits_;
@@ -98,7 +132,10 @@
   std::map<std::uint64_t, EndpointConnection*>
       connections_by_message_;  // of calls in flight, by message number
   std::vector<CallResult> immediate_results_;
+  std::vector<CallResult> provisional_results_;
   std::deque<DelayedResult> delayed_results_;  // in the order of report_at
+  EndpointTrust trust_;                        // in all endpoints together
+  std::uint64_t opened_connection_count_ = 0;
   bool is_shutting_down_ = false;
   Timer immediate_timer_;
   Timer delayed_timer_;
--- a/src/net/response_reader.h
+++ b/src/net/response_reader.h
@@ -43,6 +43,8 @@
   // this completes a final response.
   bool ReadEndOfStream();
 
+  // Returns whether a response has begun and is not complete.
+  bool has_begun() const { return parser_.has_value(); }
   // Returns whether the last status line received says 200. The call was then delivered, even if the rest of
   // the response is missing or malformed.
   bool has_ok_status() const { return has_ok_status_; }
--- a/src/pipeline/outcome_handler.cpp
+++ b/src/pipeline/outcome_handler.cpp
@@ -26,6 +26,13 @@
   }
 }
 
+void OutcomeHandler::OnProvisionalResult(const CallResult& result) {
+  const Message* message = messages_.Find(result.message_number);
+  if (message == nullptr || !message->is_in_flight || result.retry_after <= Duration(0)) return;
+  router_.QueueEvent(
+      RetryAfterReceived{ToPolicyMessageId(message->number), message->attempts - 1, result.retry_after});
+}
+
 void OutcomeHandler::UpdateMessage(Message& message, const CallResult& result) const {
   message.is_in_flight = false;
   if (MayHaveRun(result.outcome) && !message.first_uncertain_attempt) {
--- a/src/pipeline/outcome_handler.h
+++ b/src/pipeline/outcome_handler.h
@@ -32,6 +32,9 @@
 
   // Handles the result of a call. Ignores results for a message that is unknown or has no call in flight.
   void OnCallResult(const CallResult& result);
+  // Handles a result that is not certain yet: the call stays in flight, but a pause that the endpoint asks
+  // for is kept from now on.
+  void OnProvisionalResult(const CallResult& result);
 
  private:
   void UpdateMessage(Message& message, const CallResult& result) const;
--- a/src/policy/dispatch_policy.cpp
+++ b/src/policy/dispatch_policy.cpp
@@ -162,6 +162,13 @@
     Enqueue(state_, message);
   }
 
+  void On(const RetryAfterReceived& event) {
+    const auto entry = state_.messages.find(event.id);
+    if (entry == state_.messages.end() || entry->second.call == nullptr) return;
+    if (event.attempt == entry->second.attempts - 1)
+      KeepPause(state_, *entry->second.call, event.retry_after);
+  }
+
   // Whether the message must get no further attempt.
   bool MayNotRetry(const Message& message) const {
     if (message.first_uncertain_attempt && message.IsNotIdempotent()) return true;
--- a/src/policy/release.h
+++ b/src/policy/release.h
@@ -208,6 +208,18 @@
   state.calls.erase(call.number);
 }
 
+// The destination of `call` has asked for a pause. A call that is not sent yet, because its connection is
+// still being made, would arrive during the pause.
+inline void KeepPause(PolicyState& state, const Call& call, Duration retry_after) {
+  if (retry_after <= Duration(0)) return;
+  RateLimitScope& scope = *call.endpoint->scope;
+  scope.retry_after_until = std::max(scope.retry_after_until, state.now + retry_after);
+  for (const auto& [number, other] : state.calls) {
+    if (other.endpoint->scope != &scope) continue;
+    for (const Message* unsent : other.messages) state.Emit(CancelIfUnsent{unsent->id, unsent->attempts - 1});
+  }
+}
+
 // Takes in the end of a message's attempt in flight. What becomes of the message is up to the caller.
 inline void CompleteAttempt(PolicyState& state, Message& message, const AttemptCompleted& event) {
   Call& call = *std::exchange(message.call, nullptr);
@@ -216,16 +228,11 @@
   call.ended_at_deadline = message.deadline <= state.now + kMinAnswerTime;
   if (!call.outcome_recorded) RecordOutcome(state, call, event);
   call.outcome_recorded = true;
-  RateLimitScope& scope = *call.endpoint->scope;
-  scope.retry_after_until = std::max(scope.retry_after_until, state.now + event.retry_after);
   std::erase(call.messages, &message);
+  KeepPause(state, call, event.retry_after);
   for (auto& [number, other] : state.calls) {
     const bool is_earlier = other.endpoint == call.endpoint && other.sent_at < call.sent_at;
     other.overtaken_by += event.outcome == Outcome::kOk && is_earlier ? 1 : 0;
-    // The destination asked for a pause. A call that is not sent yet, because its connection is still being
-    // made, would arrive during the pause.
-    if (event.retry_after <= Duration(0) || other.endpoint->scope != &scope) continue;
-    for (const Message* unsent : other.messages) state.Emit(CancelIfUnsent{unsent->id, unsent->attempts - 1});
   }
   call.table_may_be_full |= call.idle_age == Duration(0) && event.retry_after == Duration(0);
   if (call.messages.empty()) EndCall(state, call, event.outcome);
--- a/tests/app/endpoints_test.cpp
+++ b/tests/app/endpoints_test.cpp
@@ -201,6 +201,7 @@
     for (std::uint64_t i = 1; i <= 3; ++i) {
       fixture.StartCall(i);
       RunUntil(fixture.loop, [&] { return fixture.outcomes.contains(i); });
+      RunFor(fixture.loop, 2 * kSettlingTime);  // before that, no connection is used again
     }
     RunUntil(fixture.loop, [&, n = closed] { return fixture.raw_endpoint.closed_connections == n; });
     assert((fixture.raw_endpoint.calls[0].connection != fixture.raw_endpoint.calls[1].connection) ==
--- a/tests/net/endpoint_pool_fixture.h
+++ b/tests/net/endpoint_pool_fixture.h
@@ -79,6 +79,8 @@
     RunUntil(loop, [&] { return (received += Receive(fd)).ends_with("\r\n\r\n"); });
     assert(received.starts_with("POST /hook "));
   }
+  // Waits until the connections that are idle now may carry another call.
+  void AwaitSettling() { RunFor(loop, 2 * kSettlingTime); }
   Outcome WaitForOutcome(std::uint64_t number) {
     RunUntil(loop, [&] { return outcomes.contains(number); });
     return outcomes.at(number);
--- a/tests/net/endpoint_pool_races_test.cpp
+++ b/tests/net/endpoint_pool_races_test.cpp
@@ -33,6 +33,7 @@
     FileDescriptor fd = fixture.CallOnNewConnection(1);
     MustSend(fd, kOkResponse);
     assert(fixture.WaitForOutcome(1) == Outcome::kOk);
+    fixture.AwaitSettling();
     if (change == Change::kClosed) fd = FileDescriptor();
     if (change == Change::kReset) ResetConnection(fd);
     if (change == Change::kBytes) MustSend(fd, "HTTP/1.1 20");
@@ -52,6 +53,7 @@
     FileDescriptor fd = fixture.CallOnNewConnection(1);
     MustSend(fd, kOkResponse);
     assert(fixture.WaitForOutcome(1) == Outcome::kOk);
+    fixture.AwaitSettling();
     fixture.Call(2);
     if (endpoint_reads_call) assert(Receive(fd).starts_with("POST"));
     fd = FileDescriptor();
@@ -127,6 +129,7 @@
   assert(fixture.WaitForOutcome(1) == Outcome::kCancelled);
   MustSend(second, kOkResponse);
   assert(fixture.WaitForOutcome(2) == Outcome::kOk);
+  fixture.AwaitSettling();
   fixture.Call(3, 50ms);
   fixture.WaitForCall(second);
   assert(fixture.WaitForOutcome(3) == Outcome::kTimeout);
