Soak draws faults on the paths, signals in series and heavier runs, and says which runs are thin

Cause: the incident's fault was of a kind that the soak did not draw, and a run had too few requests to mean much. Change: faults on the paths of clients, partners and the agent, drawn from the seed; further signals within 0.6 s of one, also after SIGTERM; runs of 10 s with 5 to 10 clients a node; a run under 3,000 requests or three faults is called thin. Clients' proxies run on a thread of their own. A proxy drops what it has not forwarded when the client ends, as a call that was given up must not arrive later.

--- a/src/loadtest/commands/soak_command.cpp
+++ b/src/loadtest/commands/soak_command.cpp
@@ -55,10 +55,11 @@
 void PrintResult(const SoakSchedule& schedule, const SoakResult& result) {
   std::cout << fmt::format(
       "seed {}: {} nodes, crowd {}, {} requests, {} answered, {} faults injected, {} calls on {} connections "
-      "with {} path faults, {} violations\n",
+      "with {} path faults, {} violations{}\n",
       schedule.seed, schedule.nodes, schedule.half_request_connections, result.requests, result.answered,
       result.injected_faults, result.partner_path.requests, result.partner_path.connections,
-      result.partner_path.InjectedCount() + result.agent_path.InjectedCount(), result.violations.size());
+      result.FaultCount() - result.injected_faults, result.violations.size(),
+      result.IsThin() ? ", thin" : "");
   for (std::size_t i = 0; i < result.violations.size() && i < kMaxShownViolations; ++i) {
     const SoakViolation& violation = result.violations[i];
     std::cout << "  " << violation.rule << " " << violation.id << ": " << violation.detail << "\n";
@@ -86,12 +87,16 @@
   options.stop = [&] { return interrupt.Requested(); };
   int passed = 0;
   int failed = 0;
+  int thin = 0;
   for (const SoakSchedule& schedule : Schedules(command)) {
     if (interrupt.Requested()) break;
     const SoakResult result = RunSoak(schedule, options);
     PrintResult(schedule, result);
     (result.violations.empty() ? passed : failed) += 1;
+    thin += result.IsThin() ? 1 : 0;
   }
+  std::cout << fmt::format("{} runs were thin: under {} requests or {} faults\n", thin, kMinRequests,
+                           kMinFaults);
   std::cout << fmt::format("{} passed, {} failed\n", passed, failed);
   return failed == 0 && passed > 0 ? 0 : 1;
 }
--- a/src/loadtest/proxy/proxy_connection.cpp
+++ b/src/loadtest/proxy/proxy_connection.cpp
@@ -57,6 +57,7 @@
 }
 
 void ProxyConnection::Start() {
+  bufferevent_enable(client_.get(), EV_READ | EV_WRITE);
   if (proxy_.Draw(PathFault::kForgottenConnection)) return;
   const std::optional<Duration> delay = proxy_.Draw(PathFault::kLateConnection);
   connect_timer_.Schedule(delay.value_or(Duration(0)));
@@ -72,7 +73,7 @@
                                               sizeof address) != 0) {
     return ResetClient();
   }
-  bufferevent_enable(client_.get(), EV_READ | EV_WRITE);
+  is_connecting_to_server_ = true;
   bufferevent_enable(server_.get(), EV_READ | EV_WRITE);
 }
 
@@ -189,11 +190,15 @@
   if (connection->closes_once_written_) connection->RemoveSoon();
 }
 
+// A client that ends its side has given its request up, so what is not forwarded yet must never run.
 void ProxyConnection::OnClientEvent(bufferevent*, short events, void* self) {
   auto* connection = static_cast<ProxyConnection*>(self);
-  if ((events & BEV_EVENT_EOF) == 0) return connection->RemoveSoon();
-  connection->to_server_.Run(
-      [connection] { ::shutdown(bufferevent_getfd(connection->server_.get()), SHUT_WR); });
+  const bool is_end = (events & BEV_EVENT_EOF) != 0;
+  if (!is_end || !connection->is_connecting_to_server_) return connection->RemoveSoon();
+  connection->to_server_.Stop();
+  evbuffer* unsent = bufferevent_get_output(connection->server_.get());
+  evbuffer_drain(unsent, evbuffer_get_length(unsent));
+  ::shutdown(bufferevent_getfd(connection->server_.get()), SHUT_WR);
 }
 
 void ProxyConnection::OnServerEvent(bufferevent*, short events, void* self) {
--- a/src/loadtest/proxy/proxy_connection.h
+++ b/src/loadtest/proxy/proxy_connection.h
@@ -47,7 +47,8 @@
   HttpMessageSplitter answers_;
   Timer connect_timer_;
   std::int64_t request_count_ = 0;
-  std::int64_t answer_count_ = 0;  // the server's answers that were passed on, without copies
+  std::int64_t answer_count_ = 0;         // the server's answers that were passed on, without copies
+  bool is_connecting_to_server_ = false;  // or connected
   bool closes_once_written_ = false;
 };
 
--- a/src/loadtest/soak/soak_client.cpp
+++ b/src/loadtest/soak/soak_client.cpp
@@ -25,7 +25,7 @@
 // How long a client waits for a response.
 constexpr std::int64_t kResponseTimeoutUs = 400'000;
 constexpr auto kReconnectInterval = milliseconds(20);
-constexpr int kMaxRequestPauseMs = 60;  // longest pause of a client between two requests
+constexpr int kMaxRequestPauseMs = 20;  // longest pause of a client between two requests
 constexpr int kMessageDeadlineMs = 4000;
 constexpr int kMaxRequestsPerConnection = 30;
 constexpr std::size_t kReadBytes = 4096;
--- a/src/loadtest/soak/soak_run.cpp
+++ b/src/loadtest/soak/soak_run.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <array>
 #include <atomic>
 #include <chrono>
 #include <csignal>
@@ -16,6 +17,7 @@
 #include "loadtest/clock.h"
 #include "loadtest/demo/child.h"
 #include "loadtest/demo/demo_config.h"
+#include "loadtest/proxy/proxy_thread.h"
 #include "loadtest/stub/stub_server_thread.h"
 
 namespace sagetally::loadtest {
@@ -54,20 +56,23 @@
   const std::vector<DownTime>& down_times() const { return down_times_; }
   std::vector<SoakViolation> violations;
 
-  // Injects the fault, unless the process isn't running or has been sent SIGTERM.
+  // Injects the fault, unless the process isn't running. A process that has been sent SIGTERM gets further
+  // signals too, but is killed no earlier for that.
   void Apply(NodeFault fault) {
-    if (!process_->Running() || terminated_us_ != 0) return;
+    if (!process_->Running()) return;
     switch (fault) {
       case NodeFault::kRestart:
         process_->Signal(SIGTERM);
-        terminated_us_ = NowUs();
+        if (terminated_us_ == 0) terminated_us_ = NowUs();
         return;
       case NodeFault::kKill:
-        return Kill();
+        if (terminated_us_ == 0) Kill();
+        return;
       case NodeFault::kReload:
         process_->Signal(SIGHUP);
         return;
       case NodeFault::kPause:
+        if (terminated_us_ != 0) return;
         process_->Signal(SIGSTOP);
         paused_us_ = NowUs();
         return;
@@ -224,6 +229,15 @@
   });
 }
 
+// Whether answers of partners are lost or late on their path. The dispatcher can't keep a wait that it has
+// not heard of.
+bool LosesAnswers(const SoakSchedule& schedule) {
+  constexpr std::array kFaults = {PathFault::kResetBeforeAnswer, PathFault::kResetAmidAnswer,
+                                  PathFault::kDelayedAnswer, PathFault::kStalledAnswer};
+  return std::ranges::any_of(kFaults,
+                             [&](PathFault fault) { return schedule.partner_path.rates.contains(fault); });
+}
+
 std::string MakeFolder() {
   std::string path = (fs::temp_directory_path() / "sagetally-soak-XXXXXX").string();
   if (::mkdtemp(path.data()) == nullptr) throw std::runtime_error(path + ": can't be created");
@@ -269,6 +283,8 @@
     }
     return all;
   }
+  // What the proxies on the clients' paths have recorded. To be called once, after RunSchedule().
+  ProxyRecord StopClientProxies() { return client_proxies_ ? client_proxies_->Stop() : ProxyRecord(); }
   std::vector<DownTime> DownTimes() const {
     std::vector<DownTime> all;
     for (const auto& node : nodes_) {
@@ -291,8 +307,10 @@
   }
 
   void StartClients() {
+    if (!schedule_.client_path.rates.empty()) StartClientProxies();
     for (int i = 0; i < schedule_.nodes; ++i) {
-      const auto& port = nodes_[static_cast<std::size_t>(i)]->port();
+      const auto node = static_cast<std::size_t>(i);
+      const auto& port = client_proxies_ ? client_proxies_->port(node) : nodes_[node]->port();
       for (int c = 0; c < schedule_.clients_per_node; ++c) {
         clients_.push_back(std::make_unique<SoakClient>(i, port, schedule_.seed, schedule_.destinations, c));
         threads_.emplace_back([this, client = clients_.back().get()] { client->Run(stop_); });
@@ -304,6 +322,12 @@
     }
   }
 
+  void StartClientProxies() {
+    std::vector<const std::atomic<std::uint16_t>*> ports;
+    for (const auto& node : nodes_) ports.push_back(&node->port());
+    client_proxies_ = std::make_unique<ProxyThread>(schedule_.client_path, ports);
+  }
+
   void StopClients() {
     stop_ = true;
     for (std::thread& thread : threads_) {
@@ -328,6 +352,7 @@
   const SoakSchedule& schedule_;
   const SoakOptions& options_;
   std::vector<std::unique_ptr<SoakNode>> nodes_;
+  std::unique_ptr<ProxyThread> client_proxies_;  // null if there are no faults on the clients' paths
   std::vector<std::unique_ptr<SoakClient>> clients_;
   std::vector<std::thread> threads_;
   std::atomic<bool> stop_{false};
@@ -369,9 +394,10 @@
   result.answered = std::ranges::count(requests, RequestOutcome::kAnswered, &RequestRecord::outcome);
   result.violations = FindViolations(requests, stubs.Observations(), fleet.DownTimes());
   for (const SoakViolation& node_violation : fleet.Violations()) result.violations.push_back(node_violation);
+  result.client_path = fleet.StopClientProxies();
   const StubServerSet& servers = stubs.Stop();
   for (const Violation& violation : servers.checker.violations()) {
-    if (violation.rule == kWaitNotKeptRule && HasRestart(schedule)) continue;
+    if (violation.rule == kWaitNotKeptRule && (HasRestart(schedule) || LosesAnswers(schedule))) continue;
     result.violations.push_back({violation.rule, violation.id, violation.detail});
   }
   AddPathFaults(servers, result);
--- a/src/loadtest/soak/soak_run.h
+++ b/src/loadtest/soak/soak_run.h
@@ -21,14 +21,26 @@
   std::function<bool()> stop;  // polled during the run; returns true to stop it early; may be empty
 };
 
+// What a run needs at least in order to count.
+inline constexpr std::int64_t kMinRequests = 3000;
+inline constexpr std::int64_t kMinFaults = 3;
+
 struct SoakResult {
   std::int64_t requests = 0;         // written in full by the clients
   std::int64_t answered = 0;         // of these, those with a complete response
   std::int64_t injected_faults = 0;  // system call faults that the shim injected
-  // What the proxies on the paths to the partners and to the agent have recorded.
+  // What the proxies on the paths of the clients, to the partners and to the agent have recorded.
+  ProxyRecord client_path;
   ProxyRecord partner_path;
   ProxyRecord agent_path;
   std::vector<SoakViolation> violations;
+  // Whether the run was too light to count: too few requests, or hardly a fault that struck.
+  bool IsThin() const { return requests < kMinRequests || FaultCount() < kMinFaults; }
+  // Faults of paths, partners, processes and system calls that were seen to strike.
+  std::int64_t FaultCount() const {
+    return injected_faults + client_path.InjectedCount() + partner_path.InjectedCount() +
+           agent_path.InjectedCount();
+  }
   std::string folder;  // the run's logs and files; already removed unless a rule was violated
 };
 
--- a/src/loadtest/soak/soak_schedule.cpp
+++ b/src/loadtest/soak/soak_schedule.cpp
@@ -20,6 +20,12 @@
 // faults.
 constexpr double kHalfRequestRunFraction = 0.35;
 constexpr double kCallFaultRunFraction = 0.7;
+// Fraction of the runs in which a path has faults, and the probability of each of its faults then.
+constexpr double kPathFaultRunFraction = 0.7;
+constexpr double kPathFaultChance = 0.3;
+// Probability that a signal is followed by another one, and the longest time between them.
+constexpr double kSignalSeriesChance = 0.5;
+constexpr double kMaxSignalIntervalMs = 600;
 // Descriptor limit of each node in a run with half requests, and in other runs.
 constexpr int kHalfRequestRunDescriptors = 256;
 constexpr int kDefaultDescriptors = 1024;
@@ -63,6 +69,18 @@
   return faults;
 }
 
+// A node gets further signals within a short time after the first one.
+void AddSignalsInSeries(Draws& draws, std::vector<NodeFaultEvent>& events) {
+  const std::vector<NodeFaultEvent> first = events;
+  for (const NodeFaultEvent& event : first) {
+    if (!draws.Chance(kSignalSeriesChance)) continue;
+    NodeFaultEvent next = event;
+    next.fault = draws.Chance(0.5) ? NodeFault::kReload : NodeFault::kRestart;
+    next.at_ms += draws.Real(0, kMaxSignalIntervalMs);
+    events.push_back(next);
+  }
+}
+
 std::vector<NodeFaultEvent> DrawNodeFaults(Draws& draws, const SoakSchedule& schedule) {
   std::vector<NodeFaultEvent> events;
   const int count = draws.Integer(0, 3);
@@ -73,6 +91,7 @@
     event.node = draws.Integer(0, schedule.nodes - 1);
     events.push_back(event);
   }
+  AddSignalsInSeries(draws, events);
   std::ranges::sort(events, {}, &NodeFaultEvent::at_ms);
   return events;
 }
@@ -93,6 +112,60 @@
   return events;
 }
 
+// A fault that a run may draw for a path, with the largest share and delay.
+struct DrawnPathFault {
+  PathFault fault = PathFault::kRepeatedAnswer;
+  double max_share = 0;
+  double min_delay_ms = 0;
+  double max_delay_ms = 0;
+};
+
+// A client that gets no answer can't tell whether its message was taken, so its path loses nothing.
+constexpr std::array<DrawnPathFault, 6> kClientPathFaults = {{{PathFault::kDelayedRequest, 0.1, 0, 40},
+                                                              {PathFault::kSplitRequest, 0.2, 0, 0},
+                                                              {PathFault::kDelayedAnswer, 0.1, 0, 60},
+                                                              {PathFault::kStalledAnswer, 0.1, 0, 60},
+                                                              {PathFault::kSplitAnswer, 0.2, 0, 0},
+                                                              {PathFault::kLateConnection, 0.2, 0, 100}}};
+constexpr std::array<DrawnPathFault, 15> kPartnerPathFaults = {
+    {{PathFault::kRepeatedAnswer, 0.05, 0, 8},
+     {PathFault::kRepeatedAnswer, 0.05, 10, 60},
+     {PathFault::kAnswerRepeatedInHalves, 0.05, 0, 8},
+     {PathFault::kTruncatedRepeat, 0.05, 0, 30},
+     {PathFault::kUnaskedAnswer, 0.05, 0, 200},
+     {PathFault::kDelayedAnswer, 0.1, 0, 60},
+     {PathFault::kStalledAnswer, 0.1, 0, 60},
+     {PathFault::kSplitAnswer, 0.2, 0, 0},
+     {PathFault::kSplitRequest, 0.2, 0, 0},
+     {PathFault::kResetBeforeAnswer, 0.03, 0, 0},
+     {PathFault::kResetAmidAnswer, 0.03, 0, 0},
+     {PathFault::kResetAfterAnswer, 0.05, 0, 50},
+     {PathFault::kEndAfterAnswer, 0.05, 0, 50},
+     {PathFault::kLateConnection, 0.1, 0, 800},
+     {PathFault::kForgottenConnection, 0.05, 0, 0}}};
+constexpr std::array<DrawnPathFault, 9> kAgentPathFaults = {{{PathFault::kRepeatedAnswer, 0.3, 0, 9},
+                                                             {PathFault::kTruncatedRepeat, 0.3, 0, 9},
+                                                             {PathFault::kDelayedAnswer, 0.3, 0, 300},
+                                                             {PathFault::kSplitAnswer, 0.3, 0, 0},
+                                                             {PathFault::kSplitRequest, 0.3, 0, 0},
+                                                             {PathFault::kResetBeforeAnswer, 0.2, 0, 0},
+                                                             {PathFault::kResetAmidAnswer, 0.2, 0, 0},
+                                                             {PathFault::kLateConnection, 0.2, 0, 400},
+                                                             {PathFault::kForgottenConnection, 0.1, 0, 0}}};
+
+template <std::size_t kCount>
+PathFaults DrawPathFaults(Draws& draws, std::uint64_t seed,
+                          const std::array<DrawnPathFault, kCount>& faults) {
+  PathFaults drawn;
+  drawn.seed = seed;
+  if (!draws.Chance(kPathFaultRunFraction)) return drawn;
+  for (const DrawnPathFault& fault : faults) {
+    if (!draws.Chance(kPathFaultChance)) continue;
+    drawn.rates[fault.fault] = {draws.Real(0.2, 1) * fault.max_share, fault.min_delay_ms, fault.max_delay_ms};
+  }
+  return drawn;
+}
+
 template <typename T>
 T Get(const Json& json, const std::string& key) {
   try {
@@ -144,13 +217,16 @@
   SoakSchedule schedule;
   schedule.seed = seed;
   schedule.nodes = draws.Integer(1, kMaxNodes);
-  schedule.clients_per_node = draws.Integer(2, 8);
+  schedule.clients_per_node = draws.Integer(5, 10);
   const bool has_half_requests = draws.Chance(kHalfRequestRunFraction);
   schedule.half_request_connections = has_half_requests ? draws.Integer(100, 200) : 0;
   schedule.descriptor_limit = has_half_requests ? kHalfRequestRunDescriptors : kDefaultDescriptors;
   schedule.call_faults = DrawCallFaults(draws);
   schedule.node_faults = DrawNodeFaults(draws, schedule);
   schedule.partner_faults = DrawPartnerFaults(draws, schedule);
+  schedule.client_path = DrawPathFaults(draws, seed, kClientPathFaults);
+  schedule.partner_path = DrawPathFaults(draws, seed, kPartnerPathFaults);
+  schedule.agent_path = DrawPathFaults(draws, seed, kAgentPathFaults);
   return schedule;
 }
 
--- a/src/loadtest/soak/soak_schedule.h
+++ b/src/loadtest/soak/soak_schedule.h
@@ -40,8 +40,8 @@
 
 struct SoakSchedule {
   std::uint64_t seed = 1;
-  double seconds = 6;  // how long messages are submitted
-  int nodes = 1;       // dispatcher processes
+  double seconds = 10;  // how long messages are submitted
+  int nodes = 1;        // dispatcher processes
   int clients_per_node = 4;
   int half_request_connections = 0;  // connections to each node that send only half of a first request
   int descriptor_limit = 256;        // limit of each node's descriptors in its configuration
--- a/src/net/endpoint_call_codec.cpp
+++ b/src/net/endpoint_call_codec.cpp
@@ -87,7 +87,7 @@
 std::size_t Fingerprint(const EndpointResponse& response) {
   std::string text = std::to_string(response.result_int());
   for (const auto& field : response) {
-    text += HeaderLine(std::string(field.name_string()), std::string(field.value()));
+    text += HeaderLine(std::string{field.name_string()}, std::string{field.value()});
   }
   text += "\r\n" + response.body();
   return std::hash<std::string>()(text);
--- a/src/policy/dispatch_policy.cpp
+++ b/src/policy/dispatch_policy.cpp
@@ -165,8 +165,8 @@
   void On(const RetryAfterReceived& event) {
     const auto entry = state_.messages.find(event.id);
     if (entry == state_.messages.end() || entry->second.call == nullptr) return;
-    if (event.attempt == entry->second.attempts - 1)
-      KeepPause(state_, *entry->second.call, event.retry_after);
+    if (event.attempt != entry->second.attempts - 1) return;
+    KeepPause(state_, *entry->second.call, event.retry_after);
   }
 
   // Whether the message must get no further attempt.
