A request that comes twice makes one message, also after its delivery

What callers would see: a message that may not run twice run twice, when something on the client's path repeats its request after the delivery. Cause: of the same class as the incident: a request was trusted to come once. A duplicate was recognised only while its message was in the table; messages of the platform's protocol leave it with their delivery. Evidence: RepeatedRequestIsDeliveredOnce in app_clients failed without the check (a second call) and passes with it. Why it works: the client was promised one delivery, and that has been made. Not covered: a restart between the two, and two dispatchers.

--- a/src/core/message_table.h
+++ b/src/core/message_table.h
@@ -18,6 +18,7 @@
 #include <unordered_map>
 
 #include "core/message.h"
+#include "core/recent_deliveries.h"
 
 namespace sagetally {
 
@@ -35,6 +36,8 @@
   // Returns the latest message that was submitted by the same protocol with the same id, or null if there is
   // none.
   Message* FindDuplicate(const Request& request);
+  // Returns whether this process has delivered a message of the platform's protocol with this id lately.
+  bool WasDeliveredLately(const Request& request, Time now);
 
   // The number of messages that have not completed yet.
   int pending_count() const { return pending_count_; }
@@ -80,6 +83,7 @@
   std::map<std::uint64_t, Message> messages_;
   std::unordered_map<std::string, std::uint64_t> numbers_by_key_;  // by MakeDeduplicationKey()
   std::deque<RetainedMessage> retained_;                           // oldest first
+  RecentDeliveries recent_deliveries_;  // of the platform's protocol, whose messages are not retained
   std::uint64_t next_number_ = 1;
   int pending_count_ = 0;
 };
--- a/src/pipeline/message_pipeline.cpp
+++ b/src/pipeline/message_pipeline.cpp
@@ -16,7 +16,7 @@
       outcome_handler(messages, journal, router, completion_handler, clock, dead_letters, attempt_history),
       admission_controller(messages, journal, router, completion_handler, clock,
                            site.policy.max_pending_messages, dead_letters, metrics),
-      request_validator(site, messages, router, admission_controller, dead_letters),
+      request_validator(site, messages, router, admission_controller, clock, dead_letters),
       messages_(messages),
       dead_letters_(dead_letters) {}
 
--- a/src/pipeline/request_validator.cpp
+++ b/src/pipeline/request_validator.cpp
@@ -88,6 +88,7 @@
   for (Request& request : requests) {
     const Message* earlier = messages_.FindDuplicate(request);
     if (earlier != nullptr && earlier->final_status != FinalStatus::kRejected) continue;
+    if (messages_.WasDeliveredLately(request, clock_.Now())) continue;
     if (ids.insert(request.id).second) new_requests.push_back(std::move(request));
   }
   return new_requests;
--- a/src/pipeline/request_validator.h
+++ b/src/pipeline/request_validator.h
@@ -15,6 +15,7 @@
 #include "core/message_table.h"
 #include "pipeline/admission_controller.h"
 #include "pipeline/router.h"
+#include "time/clock.h"
 
 namespace sagetally {
 
@@ -39,11 +40,12 @@
 
   // `dead_letters` may be null. All referenced objects must outlive this one.
   RequestValidator(const SiteSettings& site, MessageTable& messages, const Router& router,
-                   AdmissionController& admission, DeadLetterSink* dead_letters)
+                   AdmissionController& admission, const Clock& clock, DeadLetterSink* dead_letters)
       : site_(site),
         messages_(messages),
         router_(router),
         admission_(admission),
+        clock_(clock),
         dead_letters_(dead_letters) {}
 
   // Submits the requests of one client, of which either all are accepted or none. `respond` is called exactly
@@ -60,6 +62,7 @@
   MessageTable& messages_;
   const Router& router_;
   AdmissionController& admission_;
+  const Clock& clock_;
   DeadLetterSink* dead_letters_;
 };
 
--- a/tests/app/clients_test.cpp
+++ b/tests/app/clients_test.cpp
@@ -204,6 +204,24 @@
   assert(responses == 200);
 }
 
+// A request that comes twice on its way, while its message is pending or after its delivery, makes one
+// message.
+void RepeatedRequestIsDeliveredOnce() {
+  World world;
+  world.Start();
+  for (const char* message_class : {"aviso", "pagamento"}) {
+    const std::string id = std::string("twice-") + message_class;
+    ClientRequest& first = world.Post(message_class, id);
+    ClientRequest& copy = world.Post(message_class, id);
+    assert(world.AwaitStatus(first) == 202 && world.AwaitStatus(copy) == 202);
+    RunUntil(world.loop, [&] { return world.CountCallsOf(id) == 1; });
+    RunFor(world.loop, 50ms);  // the delivery
+    assert(world.AwaitStatus(world.Post(message_class, id)) == 202);
+    RunFor(world.loop, 200ms);
+    assert(world.CountCallsOf(id) == 1);
+  }
+}
+
 }  // namespace
 }  // namespace sagetally
 
@@ -215,5 +233,6 @@
   SlowRequestIsAcceptedBesideManyIncompleteOnes();
   ConnectionBurstIsShedAtAnySocketLimit();
   PipelinedRequestsAreAnsweredInOrder();
-  std::puts("6 passed, 0 failed");
+  RepeatedRequestIsDeliveredOnce();
+  std::puts("7 passed, 0 failed");
 }
