--- a/src/loadtest/proxy/proxy_connection.cpp
+++ b/src/loadtest/proxy/proxy_connection.cpp
@@ -19,6 +19,8 @@
 constexpr std::size_t kSplitPieceBytes = 16;
 constexpr std::size_t kMaxSplitPieces = 12;
 constexpr Duration kSplitInterval = milliseconds(1);
+// The client is reset after this time even if the server has not ended its side.
+constexpr Duration kMaxResetDelay = milliseconds(300);
 constexpr const char* kUnaskedAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
 
 std::string TakeInput(bufferevent* buffers) {
@@ -50,7 +52,8 @@
       server_(bufferevent_socket_new(proxy.loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE)),
       to_client_(proxy.loop_, client_.get()),
       to_server_(proxy.loop_, server_.get()),
-      connect_timer_(proxy.loop_, [this] { ConnectToServer(); }) {
+      connect_timer_(proxy.loop_, [this] { ConnectToServer(); }),
+      reset_timer_(proxy.loop_, [this] { SendReset(); }) {
   DisableNagle(client_socket);
   bufferevent_setcb(client_.get(), OnClientReadable, OnWritten, OnClientEvent, this);
   bufferevent_setcb(server_.get(), OnServerReadable, nullptr, OnServerEvent, this);
@@ -79,6 +82,7 @@
 
 void ProxyConnection::Close() {
   connect_timer_.Stop();
+  reset_timer_.Stop();
   to_client_.Stop();
   to_server_.Stop();
   for (BufferEventPtr* buffers : {&client_, &server_}) {
@@ -168,7 +172,26 @@
   if (evbuffer_get_length(bufferevent_get_output(client_.get())) == 0) RemoveSoon();
 }
 
+// The server must have ended its side before the client hears of the end, as the client then repeats its
+// request.
 void ProxyConnection::ResetClient() {
+  to_client_.Stop();
+  to_server_.Stop();
+  bufferevent_disable(client_.get(), EV_READ | EV_WRITE);
+  if (!is_connecting_to_server_) return SendReset();
+  is_resetting_ = true;
+  EndServer();
+  reset_timer_.Schedule(kMaxResetDelay);
+}
+
+// Drops what is not forwarded yet, and ends the sending side.
+void ProxyConnection::EndServer() {
+  evbuffer* unsent = bufferevent_get_output(server_.get());
+  evbuffer_drain(unsent, evbuffer_get_length(unsent));
+  ::shutdown(bufferevent_getfd(server_.get()), SHUT_WR);
+}
+
+void ProxyConnection::SendReset() {
   const linger zero_linger{1, 0};  // makes the close send a TCP RST
   ::setsockopt(bufferevent_getfd(client_.get()), SOL_SOCKET, SO_LINGER, &zero_linger, sizeof zero_linger);
   RemoveSoon();
@@ -182,7 +205,9 @@
 }
 
 void ProxyConnection::OnServerReadable(bufferevent* buffers, void* self) {
-  static_cast<ProxyConnection*>(self)->ForwardAnswers(TakeInput(buffers));
+  const std::string bytes = TakeInput(buffers);
+  auto* connection = static_cast<ProxyConnection*>(self);
+  if (!connection->is_resetting_) connection->ForwardAnswers(bytes);
 }
 
 void ProxyConnection::OnWritten(bufferevent*, void* self) {
@@ -196,9 +221,7 @@
   const bool is_end = (events & BEV_EVENT_EOF) != 0;
   if (!is_end || !connection->is_connecting_to_server_) return connection->RemoveSoon();
   connection->to_server_.Stop();
-  evbuffer* unsent = bufferevent_get_output(connection->server_.get());
-  evbuffer_drain(unsent, evbuffer_get_length(unsent));
-  ::shutdown(bufferevent_getfd(connection->server_.get()), SHUT_WR);
+  connection->EndServer();
 }
 
 void ProxyConnection::OnServerEvent(bufferevent*, short events, void* self) {
@@ -206,6 +229,7 @@
   if ((events & BEV_EVENT_CONNECTED) != 0) {
     return DisableNagle(bufferevent_getfd(connection->server_.get()));
   }
+  if (connection->is_resetting_) return connection->SendReset();
   const bool is_end = (events & BEV_EVENT_EOF) != 0;
   connection->to_client_.Run([connection, is_end] {
     if (is_end) {
--- a/src/loadtest/proxy/proxy_connection.h
+++ b/src/loadtest/proxy/proxy_connection.h
@@ -36,6 +36,8 @@
   void FollowAnswer(const std::string& answer);
   void EndClientOnceWritten();
   void ResetClient();
+  void EndServer();
+  void SendReset();
   void RemoveSoon();
 
   FaultProxy& proxy_;
@@ -46,9 +48,11 @@
   HttpMessageSplitter requests_;
   HttpMessageSplitter answers_;
   Timer connect_timer_;
+  Timer reset_timer_;
   std::int64_t request_count_ = 0;
   std::int64_t answer_count_ = 0;         // the server's answers that were passed on, without copies
   bool is_connecting_to_server_ = false;  // or connected
+  bool is_resetting_ = false;             // the client is reset once the server has ended its side
   bool closes_once_written_ = false;
 };
 
--- a/src/loadtest/stub/checker.cpp
+++ b/src/loadtest/stub/checker.cpp
@@ -19,8 +19,7 @@
 std::int64_t Checker::OnCallStarted(std::int64_t now_us, const CallInfo& call) {
   MessageState& message = messages_[call.id];
   if (message.in_flight > 0) {
-    AddViolation("second copy", call.id,
-                 "called at " + call.endpoint + " while another call of the message was in flight");
+    AddViolation("second copy", call.id, DescribeSecondCopy(now_us, call));
   }
   if (++message.calls > rules_.max_attempts) {
     AddViolation("too many attempts", call.id,
@@ -40,6 +39,16 @@
   return next_call_number_++;
 }
 
+std::string Checker::DescribeSecondCopy(std::int64_t now_us, const CallInfo& call) const {
+  std::string text = "called at " + call.endpoint + " while another call of the message was in flight";
+  for (const auto& [number, earlier] : in_flight_calls_) {
+    if (earlier.call.id != call.id) continue;
+    text +=
+        fmt::format(" at {} for {:.1f} ms", earlier.call.endpoint, Milliseconds(now_us - earlier.started_us));
+  }
+  return text;
+}
+
 void Checker::CheckTarget(std::int64_t now_us, const CallInfo& call) {
   if (call.message_destination && *call.message_destination != call.destination) {
     AddViolation("wrong destination", call.id,
--- a/src/loadtest/stub/checker.h
+++ b/src/loadtest/stub/checker.h
@@ -92,6 +92,7 @@
     std::int64_t announced_us = 0;
     std::int64_t until_us = 0;
   };
+  std::string DescribeSecondCopy(std::int64_t now_us, const CallInfo& call) const;
   // Checks whether the endpoint may be called at this time.
   void CheckTarget(std::int64_t now_us, const CallInfo& call);
   // Checks whether the message may be called again.
--- a/src/logging/logger.cpp
+++ b/src/logging/logger.cpp
@@ -99,7 +99,7 @@
 void Logger::Write(LogLevel level, std::string_view event, const std::vector<LogField>& fields) {
   if (level < options_.level) return;
   RateWindow& window = FindWindow(event);
-  if (!AdmitLine(window)) return;
+  if (options_.level > LogLevel::kDebug && !AdmitLine(window)) return;
   std::string line = FormatEvent(event);
   for (const LogField& field : fields) AppendField(field.name, field.value, line);
   const std::int64_t suppressed_lines = std::exchange(window.suppressed_lines, 0);
--- a/src/logging/logger.h
+++ b/src/logging/logger.h
@@ -50,9 +50,10 @@
   int burst = 20;                    // maximum number of lines per event in one second
 };
 
-// Writes events to one sink and limits the rate of each event separately. The first line of an event after
-// some were suppressed gives their number in the field `left_out`. Not thread-safe: other threads must pass
-// their events to the event loop's thread.
+// Writes events to one sink and limits the rate of each event separately, except at the level "debug", at
+// which every event is written so that one id can be followed. The first line of an event after some were
+// suppressed gives their number in the field `left_out`. Not thread-safe: other threads must pass their
+// events to the event loop's thread.
 class Logger {
  public:
   // Writes to standard output, and flushes after each line.
