Answers that come after a call's time are no delivery, also when the loop is held up

Cause: the pool ignores answers to calls that it has given up, but it gave a call up by its timer alone. Where the loop is held up, bytes and timer are due in the same round, the bytes are read first, and a 200 that the endpoint wrote after the stated time ended the message as delivered, while the endpoint had given the call up and counted nothing. That it was this very race is inferred. AnAnswerAfterTheCallsTimeIsNotADelivery failed on the code before (delivered) and passes. Change: a status line that is read after the call's time counts as a time-out if it says 200; rejections count as before, as they say that nothing ran.

--- a/src/net/endpoint_connection.cpp
+++ b/src/net/endpoint_connection.cpp
@@ -114,10 +114,12 @@
   has_call_ = true;
   is_write_reported_ = false;
   responded_early_ = false;
+  responded_late_ = false;
   reader_.ExpectResponse();
   idle_timer_.Stop();
   unsent_call_ = EncodeCall(call, opened_address_);
   call_timer_.Schedule(call.timeout);
+  call_deadline_ = std::chrono::steady_clock::now() + call.timeout;
   write_deadline_ = std::chrono::steady_clock::time_point::max();
   if (call.write_timeout) {
     write_deadline_ = std::chrono::steady_clock::now() + *call.write_timeout;
@@ -198,6 +200,7 @@
        {&connect_timer_, &call_timer_, &late_response_timer_, &write_timer_, &verification_timer_}) {
     timer->Stop();
   }
+  if (responded_late_ && result.outcome == Outcome::kOk) result.outcome = Outcome::kTimeout;
   if (responded_early_ && result.outcome != Outcome::kRejected) result.outcome = Outcome::kConnectFailed;
   // The endpoint may have given the call up as well and not count its response as a delivery, so the outcome
   // of a response to an abandoned call is ignored. Its retry-after time is passed on.
@@ -224,6 +227,8 @@
     resumer_.KeepPaused(EV_WRITE);
     bufferevent_disable(buffers_.get(), EV_WRITE);
   }
+  // The loop may be held up, so that the response is read before the call's timer fires.
+  responded_late_ |= !reader_.has_ok_status() && std::chrono::steady_clock::now() >= call_deadline_;
   switch (reader_.Read(input())) {
     case ResponseReader::State::kIncomplete:
       return;
--- a/src/net/endpoint_connection.h
+++ b/src/net/endpoint_connection.h
@@ -189,10 +189,14 @@
   // The endpoint sent bytes before the call's last byte was written. The rest of the call is then never sent,
   // so the call has not run, and the response can only have rejected it.
   bool responded_early_ = false;
+  // The status line came after the call's time. The endpoint may have given the call up by then and not count
+  // its response as a delivery.
+  bool responded_late_ = false;
   std::optional<Outcome> abandoned_as_;  // the outcome passed to AbandonCall()
   Duration round_trip_time_{0};          // estimated by the time in which the connection was established
   std::string unsent_call_;              // the encoded call, until the connection is established
   std::chrono::steady_clock::time_point opened_at_;
+  std::chrono::steady_clock::time_point call_deadline_;   // when the call's timeout ends
   std::chrono::steady_clock::time_point write_deadline_;  // the call's last byte is not written after this
   std::chrono::steady_clock::time_point idle_since_;
 };
--- a/tests/net/endpoint_pool_races_test.cpp
+++ b/tests/net/endpoint_pool_races_test.cpp
@@ -1,4 +1,6 @@
 // Races at the endpoint pool. In each test, two events happen before the pool is notified of either.
+#include <thread>
+
 #include "endpoint_pool_fixture.h"
 
 namespace sagetally {
@@ -140,6 +142,29 @@
   assert(fixture.WaitForOutcome(4) == Outcome::kOk && fixture.outcomes.size() == 10);
 }
 
+// The loop is held up, so an answer that comes after the call's time is read before the call's timer fires.
+// The endpoint has given the call up by then and does not count its answer as a delivery. A rejection still
+// counts.
+void AnAnswerAfterTheCallsTimeIsNotADelivery() {
+  constexpr auto kTimeout = 50ms;
+  struct Case {
+    std::string response;
+    Outcome outcome;
+  };
+  const Case cases[] = {{kOkResponse, Outcome::kTimeout},
+                        {kOkResponse.substr(0, 20), Outcome::kTimeout},
+                        {"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n", Outcome::kRejected}};
+  for (const auto& [response, outcome] : cases) {
+    PoolFixture fixture;
+    fixture.Call(1, kTimeout);
+    FileDescriptor fd = fixture.WaitForConnection();
+    fixture.WaitForCall(fd);
+    std::this_thread::sleep_for(kTimeout);
+    MustSend(fd, response);
+    assert(fixture.WaitForOutcome(1) == outcome);
+  }
+}
+
 // A call whose connection is established late is not written if its write timeout has passed, or if its
 // endpoint drains or was removed in the meantime. Otherwise it is written, however late.
 void ACallOnALateConnectionIsWrittenOnlyWhileAllowed() {
@@ -201,7 +226,8 @@
   AConnectionClosedDuringACallIsAReset();
   ATruncatedResponseIsClassifiedByItsStatusLine();
   RetryAfterOfAnAbandonedCallIsObserved();
+  AnAnswerAfterTheCallsTimeIsNotADelivery();
   ACallOnALateConnectionIsWrittenOnlyWhileAllowed();
   ARetryIsNotWrittenAfterItsDeduplicationWindow();
-  std::puts("7 passed, 0 failed");
+  std::puts("8 passed, 0 failed");
 }
