An early success is verified only where the usual time is 25 ms or more

What callers saw: messages refused with 429 while calls that had been answered were still held. Cause: an endpoint that answers within a few milliseconds varies by more than a quarter, so its 200s were taken for possible copies; eight slots were held at once. Change: a time is judged early only if the shortest usual one is 25 ms or more; below that the settling time covers what a copy could do.

--- a/src/net/response_tracker.cpp
+++ b/src/net/response_tracker.cpp
@@ -12,6 +12,8 @@
 constexpr std::size_t kMaxRecentResponses = 8;
 // A response that comes in less than this fraction of the shortest usual time may be a repeat.
 constexpr double kEarlyFraction = 0.75;
+// Shorter usual times vary too much to tell an early response by, and the settling time covers them.
+constexpr Duration kMinJudgedTime = milliseconds(25);
 // The response to a call is awaited for this multiple of the longest usual time, within the bounds below.
 constexpr double kLateMultiple = 1.25;
 constexpr Duration kMinVerificationTime = milliseconds(20);
@@ -20,7 +22,7 @@
 
 bool IsEarly(Duration time, const ResponseTimes& times, ResponseKind kind) {
   const std::optional<Duration> shortest = times.Shortest(kind);
-  return shortest && time < *shortest * kEarlyFraction;
+  return shortest && *shortest >= kMinJudgedTime && time < *shortest * kEarlyFraction;
 }
 
 }  // namespace
