--- a/src/loadtest/proxy/fault_proxy.cpp
+++ b/src/loadtest/proxy/fault_proxy.cpp
@@ -9,6 +9,7 @@
 #include <stdexcept>
 
 #include "loadtest/proxy/proxy_connection.h"
+#include "loadtest/proxy/request_copy.h"
 
 namespace sagetally::loadtest {
 
@@ -24,6 +25,8 @@
   for (const auto& [fault, times] : other.injected) injected[fault] += times;
   requests_before_answer.insert(requests_before_answer.end(), other.requests_before_answer.begin(),
                                 other.requests_before_answer.end());
+  answers_without_request.insert(answers_without_request.end(), other.answers_without_request.begin(),
+                                 other.answers_without_request.end());
 }
 
 FaultProxy::FaultProxy(EventLoop& loop, PathFaults faults, const std::string& name,
@@ -32,7 +35,8 @@
       faults_(std::move(faults)),
       server_address_(std::move(server_address)),
       random_(Stream(faults_.seed, "proxy " + name)),
-      removed_(loop) {
+      removed_(loop),
+      finished_copies_(loop) {
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
@@ -70,6 +74,17 @@
   return Duration(std::llround(delay_ms * 1000));
 }
 
+void FaultProxy::RepeatElsewhere(const std::string& request, Duration delay) {
+  auto copy = std::make_unique<RequestCopy>(loop_, server_address_, request, [this](RequestCopy& finished) {
+    const auto found = copies_.find(&finished);
+    finished_copies_.Delete(std::move(found->second));
+    copies_.erase(found);
+  });
+  RequestCopy* key = copy.get();
+  copies_[key] = std::move(copy);
+  key->SendAfter(delay);
+}
+
 void FaultProxy::Remove(ProxyConnection& connection) {
   const auto found = connections_.find(&connection);
   if (found == connections_.end()) return;
--- a/src/loadtest/proxy/fault_proxy.h
+++ b/src/loadtest/proxy/fault_proxy.h
@@ -20,6 +20,7 @@
 namespace sagetally::loadtest {
 
 class ProxyConnection;
+class RequestCopy;
 
 // What a proxy has seen and done.
 struct ProxyRecord {
@@ -29,6 +30,9 @@
   // The X-Request-Id of each request that was written on a connection while the server's answer to an earlier
   // request on it had not been passed on yet.
   std::vector<std::string> requests_before_answer;
+  // The X-Request-Id of the latest request on a connection, for each answer that the server wrote after it
+  // had answered every request that the client has sent.
+  std::vector<std::string> answers_without_request;
 
   std::int64_t InjectedCount() const;
   // Adds the record of another proxy.
@@ -55,6 +59,8 @@
   // Draws whether the fault occurs now, and records it. Returns its delay, or nothing.
   std::optional<Duration> Draw(PathFault fault);
   void Remove(ProxyConnection& connection);
+  // Sends `request` to the server on a connection of its own after `delay`.
+  void RepeatElsewhere(const std::string& request, Duration delay);
 
   EventLoop& loop_;
   const PathFaults faults_;
@@ -65,6 +71,8 @@
   std::uint16_t port_ = 0;
   std::map<ProxyConnection*, std::unique_ptr<ProxyConnection>> connections_;
   DeferredDeleter<ProxyConnection> removed_;
+  std::map<RequestCopy*, std::unique_ptr<RequestCopy>> copies_;  // not finished yet
+  DeferredDeleter<RequestCopy> finished_copies_;
 };
 
 }  // namespace sagetally::loadtest
--- a/src/loadtest/proxy/path_faults.cpp
+++ b/src/loadtest/proxy/path_faults.cpp
@@ -9,15 +9,25 @@
 using Json = nlohmann::json;
 
 // Names in fault files, indexed by PathFault.
-constexpr std::array<const char*, kPathFaultCount> kNames = {
-    "repeated_answer",     "answer_repeated_in_halves",
-    "truncated_repeat",    "unasked_answer",
-    "delayed_answer",      "stalled_answer",
-    "split_answer",        "delayed_request",
-    "split_request",       "reset_before_answer",
-    "reset_amid_answer",   "reset_after_answer",
-    "end_after_answer",    "late_connection",
-    "forgotten_connection"};
+constexpr std::array<const char*, kPathFaultCount> kNames = {"repeated_answer",
+                                                             "answer_repeated_in_halves",
+                                                             "truncated_repeat",
+                                                             "unasked_answer",
+                                                             "delayed_answer",
+                                                             "stalled_answer",
+                                                             "split_answer",
+                                                             "delayed_request",
+                                                             "split_request",
+                                                             "reset_before_answer",
+                                                             "reset_amid_answer",
+                                                             "reset_after_answer",
+                                                             "end_after_answer",
+                                                             "late_connection",
+                                                             "forgotten_connection",
+                                                             "repeated_request",
+                                                             "request_repeated_in_halves",
+                                                             "truncated_request_repeat",
+                                                             "request_repeated_elsewhere"};
 
 PathFault FaultFromName(const std::string& name) {
   const auto* const found = std::ranges::find(kNames, name);
--- a/src/loadtest/proxy/path_faults.h
+++ b/src/loadtest/proxy/path_faults.h
@@ -15,21 +15,26 @@
   kRepeatedAnswer,          // the answer is sent once more after a delay; delay 0: in the same write
   kAnswerRepeatedInHalves,  // the same, and the second half of the copy comes 30 ms after the first
   kTruncatedRepeat,         // the first half of the answer is sent once more after a delay
-  kUnaskedAnswer,       // a delay after the answer, another 200 arrives unless a request has come meanwhile
-  kDelayedAnswer,       // the answer is delivered after a delay
-  kStalledAnswer,       // the second half of the answer is delivered after a delay
-  kSplitAnswer,         // the answer is delivered in many small writes
-  kDelayedRequest,      // the request is delivered after a delay
-  kSplitRequest,        // the request is delivered in many small writes
-  kResetBeforeAnswer,   // the client's connection is reset instead of the answer
-  kResetAmidAnswer,     // the client's connection is reset after half of the answer
-  kResetAfterAnswer,    // the client's connection is reset after the answer and a delay
-  kEndAfterAnswer,      // the proxy ends its sending side after the answer and a delay
-  kLateConnection,      // the connection is forwarded after a delay
-  kForgottenConnection  // the connection is accepted, and nothing is forwarded
+  kUnaskedAnswer,        // a delay after the answer, another 200 arrives unless a request has come meanwhile
+  kDelayedAnswer,        // the answer is delivered after a delay
+  kStalledAnswer,        // the second half of the answer is delivered after a delay
+  kSplitAnswer,          // the answer is delivered in many small writes
+  kDelayedRequest,       // the request is delivered after a delay
+  kSplitRequest,         // the request is delivered in many small writes
+  kResetBeforeAnswer,    // the client's connection is reset instead of the answer
+  kResetAmidAnswer,      // the client's connection is reset after half of the answer
+  kResetAfterAnswer,     // the client's connection is reset after the answer and a delay
+  kEndAfterAnswer,       // the proxy ends its sending side after the answer and a delay
+  kLateConnection,       // the connection is forwarded after a delay
+  kForgottenConnection,  // the connection is accepted, and nothing is forwarded
+  kRepeatedRequest,  // the request is sent once more on its connection after a delay; delay 0: in the same
+                     // write
+  kRequestRepeatedInHalves,  // the same, and the second half of the copy comes 30 ms after the first
+  kTruncatedRequestRepeat,   // the first half of the request is sent once more after a delay
+  kRequestRepeatedElsewhere  // the request is sent once more on a connection of its own after a delay
 };
 
-inline constexpr std::size_t kPathFaultCount = 15;
+inline constexpr std::size_t kPathFaultCount = 19;
 
 // Returns the name of the fault in fault files, such as "repeated_answer".
 const char* Name(PathFault fault);
--- a/src/loadtest/proxy/proxy_connection.cpp
+++ b/src/loadtest/proxy/proxy_connection.cpp
@@ -93,10 +93,12 @@
 }
 
 void ProxyConnection::ForwardRequests(const std::string& bytes) {
-  for (const std::string& request : requests_.Add(bytes)) {
+  const std::vector<std::string> requests = requests_.Add(bytes);
+  for (const std::string& request : requests) {
     proxy_.record_.requests += 1;
+    last_request_id_ = HeaderValue(request, "X-Request-Id");
     if (answer_count_ < request_count_) {
-      proxy_.record_.requests_before_answer.push_back(HeaderValue(request, "X-Request-Id"));
+      proxy_.record_.requests_before_answer.push_back(last_request_id_);
     }
     ++request_count_;
   }
@@ -107,11 +109,35 @@
   } else {
     to_server_.Write(bytes);
   }
+  if (!requests.empty()) FollowRequest(requests.back());
+}
+
+// Repeats a request that was passed on.
+void ProxyConnection::FollowRequest(const std::string& request) {
+  const std::size_t half = request.size() / 2;
+  if (const auto repeat = proxy_.Draw(PathFault::kRepeatedRequest)) {
+    to_server_.WriteAside(request, *repeat);
+  } else if (const auto halves = proxy_.Draw(PathFault::kRequestRepeatedInHalves)) {
+    to_server_.WriteAside(request.substr(0, half), *halves);
+    to_server_.WriteAside(request.substr(half), *halves + kSecondHalfDelay);
+  } else if (const auto truncated = proxy_.Draw(PathFault::kTruncatedRequestRepeat)) {
+    to_server_.WriteAside(request.substr(0, half), *truncated);
+  } else if (const auto elsewhere = proxy_.Draw(PathFault::kRequestRepeatedElsewhere)) {
+    proxy_.RepeatElsewhere(request, *elsewhere);
+  }
+}
+
+void ProxyConnection::RecordAnswers(std::int64_t count) {
+  server_answer_count_ += count;
+  if (server_answer_count_ > request_count_) {
+    proxy_.record_.answers_without_request.push_back(last_request_id_);
+  }
 }
 
 void ProxyConnection::ForwardAnswers(const std::string& bytes) {
   const std::vector<std::string> answers = answers_.Add(bytes);
   if (answers.empty()) return to_client_.Write(bytes);
+  RecordAnswers(static_cast<std::int64_t>(answers.size()));
   if (!WriteAnswer(bytes, answers.back())) return;
   to_client_.Run([this, count = static_cast<std::int64_t>(answers.size())] { answer_count_ += count; });
   FollowAnswer(answers.back());
--- a/src/loadtest/proxy/proxy_connection.h
+++ b/src/loadtest/proxy/proxy_connection.h
@@ -31,7 +31,9 @@
   static void OnServerEvent(bufferevent*, short events, void* self);
   void ConnectToServer();
   void ForwardRequests(const std::string& bytes);
+  void FollowRequest(const std::string& request);
   void ForwardAnswers(const std::string& bytes);
+  void RecordAnswers(std::int64_t count);
   bool WriteAnswer(const std::string& bytes, const std::string& answer);
   void FollowAnswer(const std::string& answer);
   void EndClientOnceWritten();
@@ -51,6 +53,8 @@
   Timer reset_timer_;
   std::int64_t request_count_ = 0;
   std::int64_t answer_count_ = 0;         // the server's answers that were passed on, without copies
+  std::int64_t server_answer_count_ = 0;  // the answers that the server has written
+  std::string last_request_id_;
   bool is_connecting_to_server_ = false;  // or connected
   bool is_resetting_ = false;             // the client is reset once the server has ended its side
   bool closes_once_written_ = false;
--- a/src/loadtest/soak/soak_client.cpp
+++ b/src/loadtest/soak/soak_client.cpp
@@ -123,17 +123,24 @@
   record.id = ToString(SoakRequestId{node_, number_, next_request_++, idempotency});
   record.node = node_;
   const std::string text = RequestText(record.id, idempotency);
+  if (!Send(text, record) || records_.back().outcome != RequestOutcome::kClosedOnLaterRequest) return;
+  record.is_resend = true;
+  if (Connect()) Send(text, record);
+}
+
+bool SoakClient::Send(const std::string& text, RequestRecord record) {
   const ssize_t sent = ::send(socket_.get(), text.data(), text.size(), MSG_NOSIGNAL);
   record.sent_us = NowUs();
   if (sent != static_cast<ssize_t>(text.size())) {  // not written in full, so the request is not recorded
     socket_ = FileDescriptor();
-    return;
+    return false;
   }
   ++requests_on_connection_;
   AwaitResponse(record);
   record.ended_us = NowUs();
   records_.push_back(record);
   if (requests_on_connection_ >= kMaxRequestsPerConnection) socket_ = FileDescriptor();
+  return true;
 }
 
 void SoakClient::AwaitResponse(RequestRecord& record) {
--- a/src/loadtest/soak/soak_client.h
+++ b/src/loadtest/soak/soak_client.h
@@ -31,7 +31,8 @@
   std::int64_t sent_us = 0;   // when the last byte had been written
   std::int64_t ended_us = 0;  // when the outcome was known
   RequestOutcome outcome = RequestOutcome::kAnswered;
-  int status = 0;  // HTTP status; set for kAnswered only, otherwise 0
+  int status = 0;          // HTTP status; set for kAnswered only, otherwise 0
+  bool is_resend = false;  // the same request as the record before it, on a new connection
 };
 
 // The parts of a request's id: where the message was submitted and which class it has.
@@ -68,8 +69,12 @@
   bool Connect();
   // Builds a request to a random destination.
   std::string RequestText(const std::string& id, Idempotency idempotency);
-  // Sends one request and records its outcome.
+  // Sends one request and records its outcome. If the connection closes without a response to a later
+  // request, sends the request once more on a new connection, as the protocol has it.
   void SendOne();
+  // Sends `text` and appends `record` with its outcome. Returns false if the text could not be written in
+  // full, in which case nothing is recorded.
+  bool Send(const std::string& text, RequestRecord record);
   // Reads until a complete response arrives, the connection closes or the timeout expires, and stores the
   // outcome in `record`.
   void AwaitResponse(RequestRecord& record);
--- a/src/loadtest/soak/soak_judge.cpp
+++ b/src/loadtest/soak/soak_judge.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <limits>
 #include <map>
 
 namespace sagetally::loadtest {
@@ -10,12 +11,17 @@
 
 constexpr int kAcceptedStatus = 202;
 constexpr int kOkStatus = 200;
+constexpr int kTooManyRequestsStatus = 429;
+constexpr int kUnavailableStatus = 503;
 
 // What the stub servers observed of one message.
 struct ObservedMessage {
   int effects = 0;  // times that the message took effect at a partner
   bool is_delivered = false;
   bool is_notified = false;  // reported to the agent as undeliverable or deferred
+  std::int64_t first_observed_us = std::numeric_limits<std::int64_t>::max();
+
+  bool is_observed() const { return effects > 0 || is_delivered || is_notified; }
 };
 
 std::map<std::string, ObservedMessage> GroupById(const std::vector<Observation>& observations) {
@@ -26,10 +32,25 @@
     message.is_delivered |= observation.kind == ObservationKind::kDelivered;
     message.is_notified |=
         observation.kind == ObservationKind::kUndeliverable || observation.kind == ObservationKind::kDeferred;
+    message.first_observed_us = std::min(message.first_observed_us, observation.at_us);
   }
   return messages;
 }
 
+// When each request that was sent once more was sent so.
+std::map<std::string, std::int64_t> ResendTimes(const std::vector<RequestRecord>& requests) {
+  std::map<std::string, std::int64_t> times;
+  for (const RequestRecord& request : requests) {
+    if (request.is_resend) times[request.id] = request.sent_us;
+  }
+  return times;
+}
+
+std::string Describe(const ObservedMessage& observed) {
+  return fmt::format("effects {}, delivered {}, reported as undeliverable or deferred {}", observed.effects,
+                     observed.is_delivered, observed.is_notified);
+}
+
 // Whether any part of the request's lifetime falls into a down time of its node.
 bool WasDown(const std::vector<DownTime>& down_times, const RequestRecord& request) {
   return std::ranges::any_of(down_times, [&](const DownTime& down_time) {
@@ -49,19 +70,20 @@
                                           const std::vector<Observation>& observations,
                                           const std::vector<DownTime>& down_times) {
   const std::map<std::string, ObservedMessage> messages = GroupById(observations);
+  const std::map<std::string, std::int64_t> resend_times = ResendTimes(requests);
   std::vector<SoakViolation> violations;
   for (const RequestRecord& request : requests) {
     const auto found = messages.find(request.id);
     const ObservedMessage observed = found == messages.end() ? ObservedMessage() : found->second;
-    const bool was_executed = observed.effects > 0 || observed.is_delivered;
-    if (IsClosedWithoutResponse(request) && (was_executed || observed.is_notified) &&
+    const auto resent = resend_times.find(request.id);
+    const bool is_before_resend =
+        resent == resend_times.end() || request.is_resend || observed.first_observed_us < resent->second;
+    if (IsClosedWithoutResponse(request) && observed.is_observed() && is_before_resend &&
         !WasDown(down_times, request)) {
       violations.push_back(
           {"lost request", request.id,
-           fmt::format("node {}: the connection closed {} us after the request without a response; "
-                       "effects {}, delivered {}, reported as undeliverable or deferred {}",
-                       request.node, request.ended_us - request.sent_us, observed.effects,
-                       observed.is_delivered, observed.is_notified)});
+           fmt::format("node {}: the connection closed {} us after the request without a response; {}",
+                       request.node, request.ended_us - request.sent_us, Describe(observed))});
     }
     const bool is_accepted = request.status == kAcceptedStatus || request.status == kOkStatus;
     if (is_accepted && !observed.is_delivered && !observed.is_notified) {
@@ -70,6 +92,12 @@
                                         "reported as undeliverable or deferred",
                                         request.node, request.status)});
     }
+    const bool is_refused = request.status == kTooManyRequestsStatus || request.status == kUnavailableStatus;
+    if (is_refused && observed.is_observed()) {
+      violations.push_back({"refused and forwarded", request.id,
+                            fmt::format("node {}: refused with status {}; {}", request.node, request.status,
+                                        Describe(observed))});
+    }
   }
   return violations;
 }
--- a/src/loadtest/soak/soak_judge.h
+++ b/src/loadtest/soak/soak_judge.h
@@ -28,12 +28,16 @@
   std::string detail;  // what was observed
 };
 
-// Returns the violations of two rules:
+// Returns the violations of three rules:
 // - "lost request": the message of a request whose connection closed without a response must not be
 //   delivered, take effect at a partner, or be reported to the agent as undeliverable or deferred. A request
-//   that overlaps a down time of its node is exempt.
+//   that overlaps a down time of its node is exempt. If its client has sent it once more on a new connection,
+//   only what was observed before that counts.
 // - "lost message": an accepted message (status 200 or 202) must be delivered, or reported to the agent as
 //   undeliverable or deferred.
+// - "refused and forwarded": the message of a request that was answered with 429 or 503 must not be
+// delivered,
+//   take effect at a partner, or be reported to the agent.
 std::vector<SoakViolation> FindViolations(const std::vector<RequestRecord>& requests,
                                           const std::vector<Observation>& observations,
                                           const std::vector<DownTime>& down_times);
--- a/src/loadtest/soak/soak_run.cpp
+++ b/src/loadtest/soak/soak_run.cpp
@@ -47,6 +47,7 @@
     const std::string name = fmt::format("n{}", number);
     Json config = DemoPlatformConfigJson(name, stubs, fmt::format("{}/{}", folder, name), true);
     config["limits"]["sockets"] = schedule.descriptor_limit;
+    config["settings"]["params"]["caps"]["mostHeld"] = schedule.max_pending;
     fs::create_directories(config.at("state").get<std::string>());
     std::ofstream(ConfigPath()) << config.dump(1);
     Start();
@@ -192,6 +193,11 @@
   return identity;
 }
 
+// Whether no fault can keep a partner's answer from a node.
+bool AllAnswersArrive(const SoakSchedule& schedule) {
+  return schedule.partner_path.rates.empty() && schedule.call_faults.empty() && schedule.node_faults.empty();
+}
+
 // The demonstration's stub servers, without its outage, but with the schedule's partner faults.
 StubServerSettings PartnerSettingsOf(const SoakSchedule& schedule) {
   DemoOptions demo;
@@ -215,6 +221,7 @@
   }
   StubServerSettings settings = StubServerSettingsFromJson(json);
   settings.identify = IdentifyBySoakRequestId;
+  settings.rules.answers_arrive = AllAnswersArrive(schedule);
   if (!schedule.partner_path.rates.empty()) settings.partner_path_faults = schedule.partner_path;
   if (!schedule.agent_path.rates.empty()) settings.agent_path_faults = schedule.agent_path;
   return settings;
@@ -401,6 +408,9 @@
     result.violations.push_back({violation.rule, violation.id, violation.detail});
   }
   AddPathFaults(servers, result);
+  for (const std::string& id : result.client_path.answers_without_request) {
+    result.violations.push_back({"answer without request", id, "the client had an answer to every request"});
+  }
   result.injected_faults = CountLines(result.folder + "/faults.log");
   if (result.violations.empty()) fs::remove_all(result.folder);
   return result;
--- a/src/loadtest/soak/soak_schedule.cpp
+++ b/src/loadtest/soak/soak_schedule.cpp
@@ -121,12 +121,20 @@
 };
 
 // A client that gets no answer can't tell whether its message was taken, so its path loses nothing.
-constexpr std::array<DrawnPathFault, 6> kClientPathFaults = {{{PathFault::kDelayedRequest, 0.1, 0, 40},
-                                                              {PathFault::kSplitRequest, 0.2, 0, 0},
-                                                              {PathFault::kDelayedAnswer, 0.1, 0, 60},
-                                                              {PathFault::kStalledAnswer, 0.1, 0, 60},
-                                                              {PathFault::kSplitAnswer, 0.2, 0, 0},
-                                                              {PathFault::kLateConnection, 0.2, 0, 100}}};
+constexpr std::array<DrawnPathFault, 13> kClientPathFaults = {
+    {{PathFault::kRepeatedRequest, 0.05, 0, 8},
+     {PathFault::kRepeatedRequest, 0.05, 10, 60},
+     {PathFault::kRepeatedRequest, 0.05, 300, 3000},
+     {PathFault::kRequestRepeatedInHalves, 0.02, 0, 60},
+     {PathFault::kTruncatedRequestRepeat, 0.01, 0, 60},
+     {PathFault::kRequestRepeatedElsewhere, 0.05, 0, 20},
+     {PathFault::kRequestRepeatedElsewhere, 0.05, 300, 3000},
+     {PathFault::kDelayedRequest, 0.1, 0, 40},
+     {PathFault::kSplitRequest, 0.2, 0, 0},
+     {PathFault::kDelayedAnswer, 0.1, 0, 60},
+     {PathFault::kStalledAnswer, 0.1, 0, 60},
+     {PathFault::kSplitAnswer, 0.2, 0, 0},
+     {PathFault::kLateConnection, 0.2, 0, 100}}};
 constexpr std::array<DrawnPathFault, 15> kPartnerPathFaults = {
     {{PathFault::kRepeatedAnswer, 0.05, 0, 8},
      {PathFault::kRepeatedAnswer, 0.05, 10, 60},
@@ -201,6 +209,7 @@
                                        Get<double>(event, "for_ms"), Get<int>(event, "destination"),
                                        Get<double>(event, "share")});
   }
+  schedule.max_pending = json.value("max_pending", schedule.max_pending);
   schedule.destinations = json.value("destinations", schedule.destinations);
   schedule.partner_min_ms = json.value("partner_min_ms", 0.0);
   schedule.partner_max_ms = json.value("partner_max_ms", 0.0);
@@ -251,6 +260,7 @@
           {"clients_per_node", schedule.clients_per_node},
           {"crowd", schedule.half_request_connections},
           {"sockets", schedule.descriptor_limit},
+          {"max_pending", schedule.max_pending},
           {"call_faults", schedule.call_faults},
           {"node_faults", node_faults},
           {"partner_faults", partner_faults},
--- a/src/loadtest/soak/soak_schedule.h
+++ b/src/loadtest/soak/soak_schedule.h
@@ -45,6 +45,7 @@
   int clients_per_node = 4;
   int half_request_connections = 0;  // connections to each node that send only half of a first request
   int descriptor_limit = 256;        // limit of each node's descriptors in its configuration
+  int max_pending = 800;             // messages that each node holds at most
   std::string call_faults;  // the fault shim's specification of system call faults; empty if there are none
   std::vector<NodeFaultEvent> node_faults;  // in order of time
   std::vector<PartnerFaultEvent> partner_faults;
--- a/src/loadtest/stub/checker.cpp
+++ b/src/loadtest/stub/checker.cpp
@@ -83,7 +83,11 @@
                  fmt::format("called again {:.0f} ms after a call that may have run",
                              Milliseconds(now_us - *executed_us)));
   }
-  if (message.delivered && call.idempotency == Idempotency::kNotIdempotent) {
+  if (message.is_notified) {
+    AddViolation("called after its end", call.id,
+                 "called after it was reported as undeliverable or deferred");
+  }
+  if (message.delivered && (rules_.answers_arrive || call.idempotency == Idempotency::kNotIdempotent)) {
     AddViolation("delivered again", call.id, "called again after a call got a response with status 200");
   }
 }
--- a/src/loadtest/stub/checker.h
+++ b/src/loadtest/stub/checker.h
@@ -31,6 +31,9 @@
   std::int64_t wait_grace_us = 100'000;
   // A message with an idempotency key that may have run may be called again only within this time.
   std::int64_t deduplication_window_us = 10'050'000;
+  // Whether every answer of a partner reaches the dispatcher, so that a delivered message must not be called
+  // again. Without it that holds for messages that are not idempotent only.
+  bool answers_arrive = false;
 };
 
 // A call as the called endpoint sees it. If an optional value is absent, it is not checked.
@@ -61,6 +64,9 @@
                    std::int64_t wait_us = 0);
   // Called each time that the message takes effect at a partner.
   void OnEffect(const std::string& id, std::optional<Idempotency> idempotency);
+  // Called when the dispatcher has reported the message as undeliverable or deferred. It must not be called
+  // again.
+  void OnNotified(const std::string& id) { messages_[id].is_notified = true; }
   void OnDrainingAnnounced(std::int64_t now_us, const std::string& endpoint);
   void OnInServiceAnnounced(const std::string& endpoint) { draining_since_us_.erase(endpoint); }
   // Forgets the waits that the restarted dispatcher no longer knows, and ends its calls, which may have run.
@@ -87,6 +93,7 @@
     int effects = 0;
     std::optional<std::int64_t> may_have_executed_us;  // start of the first call that may have run
     bool delivered = false;
+    bool is_notified = false;
   };
   struct Wait {
     std::int64_t announced_us = 0;
--- a/src/loadtest/stub/stub_server_set.cpp
+++ b/src/loadtest/stub/stub_server_set.cpp
@@ -64,6 +64,7 @@
   for (const ListedEndpoint& endpoint : ListedEndpoints()) agent->Put(endpoint);
   agent->faults = settings.agent_faults;
   agent->on_notice = [this](const std::string& id, const std::string& status) {
+    checker.OnNotified(id);
     AddObservation(status == "deferred" ? ObservationKind::kDeferred : ObservationKind::kUndeliverable, id);
   };
   agent->on_state_announced = [this](const std::string& uid, const std::string& state) {
--- a/tests/loadtest/soak_test.cpp
+++ b/tests/loadtest/soak_test.cpp
@@ -40,6 +40,28 @@
   EXPECT_EQ(violations[0].rule, "lost message");
 }
 
+TEST(SoakRules, ReportsARejectedRequestThatWasForwarded) {
+  for (const int status : {429, 503}) {
+    for (const ObservationKind kind : {ObservationKind::kEffect, ObservationKind::kDeferred}) {
+      const auto violations =
+          FindViolations({Request("a", RequestOutcome::kAnswered, status)}, {{kind, 1500, "a"}}, {});
+      ASSERT_EQ(violations.size(), 1U);
+      EXPECT_EQ(violations[0].rule, "refused and forwarded");
+    }
+  }
+}
+
+TEST(SoakRules, ExcuseAnUnreadRequestThatItsClientSendsOnceMore) {
+  RequestRecord resend = Request("a", RequestOutcome::kAnswered, 202);
+  resend.sent_us = 3000;
+  resend.is_resend = true;
+  const std::vector<RequestRecord> requests = {Request("a", RequestOutcome::kClosedOnLaterRequest), resend};
+  EXPECT_TRUE(FindViolations(requests, {{ObservationKind::kDelivered, 3500, "a"}}, {}).empty());
+  const auto violations = FindViolations(requests, {{ObservationKind::kDelivered, 1500, "a"}}, {});
+  ASSERT_EQ(violations.size(), 1U);
+  EXPECT_EQ(violations[0].rule, "lost request");
+}
+
 TEST(SoakRules, ReportNothingForAllowedOutcomes) {
   const std::vector<Observation> observations = {{ObservationKind::kDelivered, 1500, "delivered"},
                                                  {ObservationKind::kUndeliverable, 1500, "notified"},
