Soak: incomplete first requests and copies whose original was aborted are no violations

Now the proxy names the ids that it copied to another connection, and counts only clients that have sent a whole request.

--- a/src/loadtest/proxy/fault_proxy.cpp
+++ b/src/loadtest/proxy/fault_proxy.cpp
@@ -25,6 +25,8 @@
   for (const auto& [fault, times] : other.injected) injected[fault] += times;
   requests_before_answer.insert(requests_before_answer.end(), other.requests_before_answer.begin(),
                                 other.requests_before_answer.end());
+  repeated_elsewhere.insert(repeated_elsewhere.end(), other.repeated_elsewhere.begin(),
+                            other.repeated_elsewhere.end());
   answers_without_request.insert(answers_without_request.end(), other.answers_without_request.begin(),
                                  other.answers_without_request.end());
 }
--- a/src/loadtest/proxy/fault_proxy.h
+++ b/src/loadtest/proxy/fault_proxy.h
@@ -33,6 +33,8 @@
   // The X-Request-Id of the latest request on a connection, for each answer that the server wrote after it
   // had answered every request that the client has sent.
   std::vector<std::string> answers_without_request;
+  // The X-Request-Id of each request of which a copy was sent on a connection of its own.
+  std::vector<std::string> repeated_elsewhere;
 
   std::int64_t InjectedCount() const;
   // Adds the record of another proxy.
--- a/src/loadtest/proxy/proxy_connection.cpp
+++ b/src/loadtest/proxy/proxy_connection.cpp
@@ -123,13 +123,15 @@
   } else if (const auto truncated = proxy_.Draw(PathFault::kTruncatedRequestRepeat)) {
     to_server_.WriteAside(request.substr(0, half), *truncated);
   } else if (const auto elsewhere = proxy_.Draw(PathFault::kRequestRepeatedElsewhere)) {
+    proxy_.record_.repeated_elsewhere.push_back(last_request_id_);
     proxy_.RepeatElsewhere(request, *elsewhere);
   }
 }
 
 void ProxyConnection::RecordAnswers(std::int64_t count) {
   server_answer_count_ += count;
-  if (server_answer_count_ > request_count_) {
+  // A client that has sent no whole request may get an error.
+  if (request_count_ > 0 && server_answer_count_ > request_count_) {
     proxy_.record_.answers_without_request.push_back(last_request_id_);
   }
 }
--- a/src/loadtest/soak/soak_judge.cpp
+++ b/src/loadtest/soak/soak_judge.cpp
@@ -81,7 +81,7 @@
     if (IsClosedWithoutResponse(request) && observed.is_observed() && is_before_resend &&
         !WasDown(down_times, request)) {
       violations.push_back(
-          {"lost request", request.id,
+          {kLostRequestRule, request.id,
            fmt::format("node {}: the connection closed {} us after the request without a response; {}",
                        request.node, request.ended_us - request.sent_us, Describe(observed))});
     }
--- a/src/loadtest/soak/soak_judge.h
+++ b/src/loadtest/soak/soak_judge.h
@@ -21,6 +21,9 @@
   std::int64_t until_us = 0;
 };
 
+// The name of the rule on requests whose connection closed without a response.
+inline constexpr const char* kLostRequestRule = "lost request";
+
 // A violated rule.
 struct SoakViolation {
   std::string rule;    // the rule's name
--- a/src/loadtest/soak/soak_run.cpp
+++ b/src/loadtest/soak/soak_run.cpp
@@ -11,6 +11,7 @@
 #include <fstream>
 #include <iterator>
 #include <memory>
+#include <set>
 #include <stdexcept>
 #include <thread>
 
@@ -383,6 +384,16 @@
   if (servers.agent_proxy) result.agent_path.Add(servers.agent_proxy->record());
 }
 
+// A copy on a connection of its own may be forwarded although the connection of the request itself was
+// aborted before the dispatcher has read it.
+void ExcuseRequestsRepeatedElsewhere(SoakResult& result) {
+  const std::vector<std::string>& ids = result.client_path.repeated_elsewhere;
+  const std::set<std::string> repeated(ids.begin(), ids.end());
+  std::erase_if(result.violations, [&](const SoakViolation& violation) {
+    return violation.rule == kLostRequestRule && repeated.contains(violation.id);
+  });
+}
+
 }  // namespace
 
 SoakResult RunSoak(const SoakSchedule& schedule, const SoakOptions& options) {
@@ -408,6 +419,7 @@
     result.violations.push_back({violation.rule, violation.id, violation.detail});
   }
   AddPathFaults(servers, result);
+  ExcuseRequestsRepeatedElsewhere(result);
   for (const std::string& id : result.client_path.answers_without_request) {
     result.violations.push_back({"answer without request", id, "the client had an answer to every request"});
   }
