No call is made before the client of its message has its response

Callers saw: a client that had gone before its response could have its message forwarded all the same; the message was withdrawn then and the call cancelled, so it might have run, and the client handed the message in again. Cause: the policy's attempt was started in the same round before the response was written, and when a record became durable the calls went before the responses. Now a call waits until the response is written, in the same round. Evidence: NothingIsForwardedForAClientThatHasGoneBeforeItsResponse (tests/pipeline/repeated_requests_test.cpp, with the id history) found the call on the earlier order.

--- a/src/pipeline/attempt_sender.cpp
+++ b/src/pipeline/attempt_sender.cpp
@@ -21,7 +21,7 @@
   message->in_flight_endpoint = endpoint;
   if (records_history_) message->history.push_back({now, endpoint, {}, Duration(0)});
   journal_.AppendAttempt(*message);
-  if (journal_.IsDurable(*message)) {
+  if (MayStartCall(*message)) {
     StartCall(*message, endpoint, timeout);
   } else {
     waiting_attempts_[number] = {endpoint, timeout, now.wall_time};
@@ -46,14 +46,19 @@
   endpoint_client_.StartCall(call);
 }
 
-void AttemptSender::OnJournalProgress() {
+// A client that has gone before its response submits its message again, so nothing is forwarded before that.
+bool AttemptSender::MayStartCall(const Message& message) const {
+  return message.is_response_sent && journal_.IsDurable(message);
+}
+
+void AttemptSender::StartDueCalls() {
   const Time now = clock_.Now();
   std::vector<std::uint64_t> not_sent = std::exchange(cancelled_attempts_, {});
   for (auto waiting = waiting_attempts_.begin(); waiting != waiting_attempts_.end();) {
     const auto& [number, attempt] = *waiting;
     const Message* message = messages_.Find(number);
     const bool is_pending = message != nullptr && message->final_status == FinalStatus::kPending;
-    if (is_pending && !journal_.IsDurable(*message)) {
+    if (is_pending && !MayStartCall(*message)) {
       ++waiting;
       continue;
     }
--- a/src/pipeline/attempt_sender.h
+++ b/src/pipeline/attempt_sender.h
@@ -1,6 +1,6 @@
 // Starts the attempts that the dispatch policy decides on. Each attempt is recorded in the journal, and its
-// call is made once the record is durable. If that takes too long, the attempt is reported as not sent
-// instead, so that the policy decides again.
+// call is made once the record is durable and the client has its response. If that takes too long, the
+// attempt is reported as not sent instead, so that the policy decides again.
 //
 // Used on the event loop's thread only, by Router and MessagePipeline.
 #ifndef SAGETALLY_SRC_PIPELINE_ATTEMPT_SENDER_H_
@@ -41,26 +41,27 @@
   void StartAttempt(std::uint64_t number, const std::string& endpoint, Duration timeout);
 
   // Cancels the attempt of message `number` if its record is not durable yet, and returns whether it did so.
-  // The next OnJournalProgress() reports the attempt as not sent.
+  // The next StartDueCalls() reports the attempt as not sent.
   bool CancelIfWaiting(std::uint64_t number);
 
-  // Makes the calls whose records have become durable. Reports as not sent the attempts that were cancelled,
-  // that waited too long, or whose message has completed meanwhile.
-  void OnJournalProgress();
+  // Makes the calls whose records have become durable and whose clients have their responses. Reports as not
+  // sent the attempts that were cancelled, that waited too long, or whose message has completed meanwhile.
+  void StartDueCalls();
 
-  // Whether there are cancelled attempts that the next OnJournalProgress() will report.
+  // Whether there are cancelled attempts that the next StartDueCalls() will report.
   bool has_cancelled_attempts() const { return !cancelled_attempts_.empty(); }
   // Whether there are recorded attempts whose call was neither made nor reported as not sent.
   bool has_waiting_attempts() const { return !waiting_attempts_.empty() || has_cancelled_attempts(); }
 
  private:
-  // An attempt whose record is not durable yet.
+  // An attempt whose call can't be made yet.
   struct WaitingAttempt {
     std::string endpoint;
     Duration timeout{0};
     Time decided_at{0};  // when the policy decided on the attempt
   };
 
+  bool MayStartCall(const Message& message) const;
   void StartCall(const Message& message, const std::string& endpoint, Duration timeout);
   void ReportNotSent(std::uint64_t number);
 
--- a/src/pipeline/message_pipeline.cpp
+++ b/src/pipeline/message_pipeline.cpp
@@ -43,14 +43,15 @@
 }
 
 void MessagePipeline::OnJournalProgress() {
-  attempt_sender.OnJournalProgress();
   completion_handler.OnJournalProgress();
   admission_controller.RespondToWaitingClients();
+  attempt_sender.StartDueCalls();
 }
 
 void MessagePipeline::RunPolicy() {
   router.RunPolicy();
   admission_controller.RespondToWaitingClients();
+  attempt_sender.StartDueCalls();
 }
 
 bool MessagePipeline::IsQuiescent() const {
--- a/src/pipeline/router.cpp
+++ b/src/pipeline/router.cpp
@@ -20,7 +20,7 @@
   for (const Action& action : actions) {
     std::visit([this](const auto& typed_action) { Execute(typed_action); }, action);
   }
-  if (attempt_sender_.has_cancelled_attempts()) attempt_sender_.OnJournalProgress();
+  if (attempt_sender_.has_cancelled_attempts()) attempt_sender_.StartDueCalls();
   messages_.ExpireRetained(clock_.Now());
 }
 
