A copy of an answered request gets no response of its own on its connection

Callers saw: a client read the answer of another request: told 202 for a message that was refused, or 429 for one that was forwarded, and every answer after that belonged to the request before. Cause: HTTP/1.1 matches responses by position. A request that the path repeated was answered like a new one, and what could not be read behind an answered request got a 400 or 408, which the client took for the response to its next request. Why it works: a client has one request open at a time, so it has had the response to an id that was answered on this connection. Such a copy is dropped and the connection goes on; without an id the connection ends between two requests, so that a client which does wait sends its request again. Unreadable bytes and time-outs end a connection on which a request was answered without a response. Logged: request.repeated, request.unreadable.

--- a/src/app/request_log.cpp
+++ b/src/app/request_log.cpp
@@ -87,6 +87,10 @@
   server.on_connection_closed = [this](const HttpServer::ClosedConnection& closed) {
     OnConnectionClosed(closed);
   };
+  server.on_request_dropped = [this](const Exchange& exchange) { OnRequestDropped(exchange); };
+  server.on_request_rejected = [this](std::uint64_t connection_number, int status, bool is_answered) {
+    OnRequestRejected(connection_number, status, is_answered);
+  };
   server.on_connection_refused = [this] { log_.Info("client.refused", {{"reason", "no_place"}}); };
 }
 
@@ -141,6 +145,16 @@
               {"reason", reason}});
 }
 
+void RequestLog::OnRequestDropped(const Exchange& exchange) {
+  log_.Info("request.repeated",
+            {{"id", RequestId(exchange)}, {"connection", exchange.connection_number()}, {"answered", false}});
+}
+
+void RequestLog::OnRequestRejected(std::uint64_t connection_number, int status, bool is_answered) {
+  log_.Info("request.unreadable",
+            {{"connection", connection_number}, {"status", status}, {"answered", is_answered}});
+}
+
 void RequestLog::OnConnectionClosed(const HttpServer::ClosedConnection& closed) {
   const LogLevel level = IsNormalClose(closed) ? LogLevel::kDebug : LogLevel::kInfo;
   if (!log_.IsEnabled(level)) return;
--- a/src/net/http_exchange.cpp
+++ b/src/net/http_exchange.cpp
@@ -19,4 +19,9 @@
   return true;
 }
 
+void Exchange::Drop() {
+  if (is_closed()) return;
+  std::exchange(client_, nullptr)->DropRequest(*this);
+}
+
 }  // namespace sagetally
--- a/src/net/http_exchange.h
+++ b/src/net/http_exchange.h
@@ -34,17 +34,25 @@
   const std::string& body() const { return body_; }
   // The number of the request's connection, which is unique within its server.
   std::uint64_t connection_number() const { return connection_number_; }
+  // Returns whether this is the first request on its connection.
+  bool is_first_request() const { return is_first_request_; }
   // Returns whether no response can be sent any more, because one was sent or the connection has closed.
   bool is_closed() const { return client_ == nullptr; }
   // Sends the response. Returns false and does nothing if is_closed(). Adds Content-Length and Connection to
   // `headers`.
   bool Respond(int code, const std::string& body = "", const Headers& headers = {});
+  // Ends the exchange without a response, because the client has had one: the request is a copy that
+  // something on its way made. A response would be taken for that to the client's next request. The
+  // connection is ended between two requests, so that a client that does wait sends its request once more on
+  // a new one. Does nothing if is_closed().
+  void Drop();
 
  private:
   friend class ServerConnection;
 
   ServerConnection* client_;
   std::uint64_t connection_number_ = 0;
+  bool is_first_request_ = false;
   std::string method_;
   std::string path_;
   Headers headers_;
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -95,6 +95,12 @@
   std::function<void()> on_closed;
   // Called with each response before it is written. May be empty.
   std::function<void(const Exchange&, int status, const std::string& body)> on_responded;
+  // Called with a request that is not answered, because it is a copy of one that was. May be empty.
+  std::function<void(const Exchange&)> on_request_dropped;
+  // Called when a request can't be read, with the number of its connection and the status that tells why.
+  // `is_answered` says whether the client gets that status, which it does for its first request only. May be
+  // empty.
+  std::function<void(std::uint64_t connection_number, int status, bool is_answered)> on_request_rejected;
   // Called when a connection was closed, before on_closed. May be empty.
   std::function<void(const ClosedConnection&)> on_connection_closed;
   // Called when a new connection was closed at once because the server is full. May be empty.
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -32,6 +32,7 @@
 constexpr std::size_t kDiscardBufferBytes = 4096;
 
 constexpr int kNoContent = 204;
+constexpr int kBadRequest = 400;
 constexpr int kRequestTimeout = 408;
 constexpr int kServiceUnavailable = 503;
 constexpr const char* kRejectionHeaders = "Connection: close\r\nContent-Length: 0\r\n\r\n";
@@ -140,6 +141,7 @@
 
 bool ServerConnection::RejectPartialRequest() {
   if (!reader_.is_reading()) return false;
+  if (has_sent_requests_) return true;
   const std::string text = StatusLine(kServiceUnavailable) + kRejectionHeaders;
   [[maybe_unused]] const ssize_t sent =
       ::send(socket(), text.data(), text.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
@@ -166,7 +168,9 @@
   }
   // Further requests that are already in the buffer are answered, too, unless this request itself asked to
   // close the connection.
-  const bool is_last = !keep_alive_ || ((server_.is_closing_ || client_has_ended_) && !HasUnparsedBytes());
+  const bool ends_after = server_.is_closing_ || client_has_ended_ || ends_soon_;
+  const bool is_last = !keep_alive_ || (ends_after && !HasUnparsedBytes());
+  if (open_request_) answered_requests_.Add(*open_request_);
   std::string text = StatusLine(status);
   for (const auto& [name, value] : headers) text.append(name).append(": ").append(value).append("\r\n");
   if (is_last) text += "Connection: close\r\n";
@@ -181,6 +185,20 @@
   if (HasUnparsedBytes()) ReadSoon();
 }
 
+void ServerConnection::DropRequest(const Exchange& exchange) {
+  if (server_.on_request_dropped) server_.on_request_dropped(exchange);
+  exchange_.reset();
+  EndBetweenRequests();
+}
+
+// Ends the connection now if no further request has arrived, and otherwise after the response to that.
+void ServerConnection::EndBetweenRequests() {
+  ends_soon_ = true;
+  if (is_closing_ || CloseGracefully()) return;
+  timer_.Schedule(kNextRequestTimeout);
+  if (HasUnparsedBytes()) ReadSoon();
+}
+
 std::shared_ptr<Exchange> ServerConnection::open_exchange() const {
   auto exchange = exchange_.lock();
   return exchange && !exchange->is_closed() ? exchange : nullptr;
@@ -249,6 +267,9 @@
 
 void ServerConnection::HandleRequest() {
   RequestReader::HttpRequest request = reader_.TakeRequest();
+  if (HasAmbiguousId(request)) return RejectRequest(kBadRequest);
+  if (DropIfAnsweredBefore(request)) return;
+  const bool is_first_request = !has_sent_requests_;
   has_sent_requests_ = true;
   ++request_count_;
   timer_.Stop();
@@ -256,16 +277,38 @@
   auto exchange = std::make_shared<Exchange>(this, ToString(request.method_string()), PathOf(request),
                                              HeadersOf(request), std::move(request.body()));
   exchange->connection_number_ = number_;
+  exchange->is_first_request_ = is_first_request;
   exchange_ = exchange;
   server_.handler_(std::move(exchange));
 }
 
+// A client has one request open at a time, so it has had the response to a request that was answered on this
+// connection before. Of a request with an id nothing else can follow than a copy, and the connection goes on.
+bool ServerConnection::DropIfAnsweredBefore(const RequestReader::HttpRequest& request) {
+  open_request_ = IdentityOf(request);
+  if (!open_request_ || !answered_requests_.Contains(*open_request_)) return false;
+  Exchange copy(nullptr, ToString(request.method_string()), PathOf(request), HeadersOf(request), "");
+  copy.connection_number_ = number_;
+  if (server_.on_request_dropped) server_.on_request_dropped(copy);
+  if (!open_request_->has_id) {
+    EndBetweenRequests();
+  } else {
+    timer_.Schedule(HasUnparsedBytes() ? kNextRequestTimeout : kIdleTimeout);
+  }
+  return true;
+}
+
+// A later request that can't be read is not answered, because it may be a part of an earlier one that was
+// repeated on its way, and the client would take the response for that to its next request.
 void ServerConnection::RejectRequest(int status) {
   reader_.Reset();
-  has_sent_requests_ = true;
   is_closing_ = true;
-  Write(StatusLine(status) + kRejectionHeaders);
+  const bool is_answered = !has_sent_requests_;
+  has_sent_requests_ = true;
+  if (is_answered) Write(StatusLine(status) + kRejectionHeaders);
+  if (server_.on_request_rejected) server_.on_request_rejected(number_, status, is_answered);
   CloseOnceWritten();
+  if (UnwrittenBytes() == 0) ::shutdown(socket(), SHUT_WR);
   Read();
 }
 
--- a/src/net/server_connection.h
+++ b/src/net/server_connection.h
@@ -5,11 +5,13 @@
 
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
 #include "net/event_loop.h"
 #include "net/http_server.h"
+#include "net/request_identity.h"
 #include "net/request_reader.h"
 #include "net/transfer_resumer.h"
 
@@ -39,6 +41,8 @@
   // bytes of a request have already arrived, does nothing and returns false, so that the request is answered
   // first.
   bool CloseGracefully();
+  // Ends the open exchange without a response; see Exchange::Drop().
+  void DropRequest(const Exchange& exchange);
   // Sends the response to the open exchange.
   void SendResponse(int status, const std::string& body, const HttpHeaders& headers);
 
@@ -77,7 +81,9 @@
   void CloseAfterLinger();
   void ResumeTransferred(const HttpServer::TransferredClient& transferred);
   void HandleRequest();
+  bool DropIfAnsweredBefore(const RequestReader::HttpRequest& request);
   void RejectRequest(int status);
+  void EndBetweenRequests();
   void CloseOnceWritten();
   void ReadSoon();
   void Write(std::string_view text);
@@ -93,9 +99,12 @@
   TransferResumer resumer_;
   Timer timer_;  // limits the time for the request that is awaited or being read, or for the close
   RequestReader reader_;
-  std::weak_ptr<Exchange> exchange_;  // the last one that was passed to the server's handler
+  std::weak_ptr<Exchange> exchange_;             // the last one that was passed to the server's handler
+  std::optional<RequestIdentity> open_request_;  // identifies the request of exchange_
+  AnsweredRequests answered_requests_;
   bool has_sent_requests_ = false;
   bool is_closing_ = false;        // no further request is read
+  bool ends_soon_ = false;         // the connection is ended as soon as no request is open
   bool keep_alive_ = true;         // the open request allows further requests on the connection
   bool client_has_ended_ = false;  // the client has shut down its sending side
   std::uint64_t request_count_ = 0;
