One outcome for each id: a copy gets the answer of its original and makes no message

Callers saw: a message that was answered 429 or 503 was forwarded when a copy came on another connection; a copy ran after the notice of its message was acknowledged, or 10 s after its delivery; a copy was told 202 before the record of its original was durable, also when the original was then rejected or withdrawn, which loses the message if the copy is the client's own second try after its connection broke. Cause: only pending messages and deliveries of the last 10 s were known; a copy of a pending one was answered at once. Copies are answered on a connection's first request only, as a client sends a request once more on a new one.

--- a/src/core/journal.h
+++ b/src/core/journal.h
@@ -33,6 +33,10 @@
   // Records that the dead-letter store has stored the message, or has given it up for good.
   virtual void AppendDeadLettered(const Message&) {}
 
+  // Saves the ids that the table's id history has remembered since the last call. An id whose message has a
+  // record of its end needs no call.
+  virtual void SaveRememberedIds() {}
+
   // Whether all records of the message are as durable as its class requires.
   virtual bool IsDurable(const Message&) const { return true; }
 };
--- a/src/core/message.h
+++ b/src/core/message.h
@@ -110,7 +110,8 @@
   kAccepted,
   kRejected,      // can't be accepted at present; the client may submit it again
   kShuttingDown,  // this process accepts no more messages; the client may submit it to another process
-  kInvalid        // the request itself is invalid
+  kInvalid,       // the request itself is invalid
+  kWithdrawn      // the same request came before, and its message was withdrawn because the client had gone
 };
 
 // The immediate response to a client's submission.
@@ -118,6 +119,8 @@
   AdmissionStatus status = AdmissionStatus::kAccepted;
   Duration retry_after{0};  // 0: not stated
   std::string reason = {};  // human-readable; empty if accepted
+  // Every request of the submission is a copy of one that has its answer already, which this result repeats.
+  bool is_repeat = false;
 };
 
 // A call to be made to an endpoint.
--- a/src/core/message_table.cpp
+++ b/src/core/message_table.cpp
@@ -43,17 +43,13 @@
   return found == numbers_by_key_.end() ? nullptr : Find(found->second);
 }
 
-bool MessageTable::WasDeliveredLately(const Request& request, Time now) {
-  return request.protocol == IngressProtocol::kPlatform && recent_deliveries_.Contains(request.id, now);
-}
-
 void MessageTable::Complete(Message& message, FinalStatus final_status, Duration retry_after, Time now) {
   if (!IsPending(message)) return;
   message.final_status = final_status;
   message.retry_after = retry_after;
   message.completed_at = now;
-  if (final_status == FinalStatus::kDelivered && message.request.protocol == IngressProtocol::kPlatform) {
-    recent_deliveries_.Add(message.request.id, now);
+  if (message.request.protocol == IngressProtocol::kPlatform) {
+    id_history_.Add(message.request, SubmissionOutcome::kAccepted, now, message.deadline);
   }
   // No client waits for a redrive, because it was notified when the original message completed.
   const bool has_waiting_client = message.redrive_number == 0;
--- a/src/core/message_table.h
+++ b/src/core/message_table.h
@@ -17,8 +17,8 @@
 #include <string>
 #include <unordered_map>
 
+#include "core/id_history.h"
 #include "core/message.h"
-#include "core/recent_deliveries.h"
 
 namespace sagetally {
 
@@ -36,8 +36,8 @@
   // Returns the latest message that was submitted by the same protocol with the same id, or null if there is
   // none.
   Message* FindDuplicate(const Request& request);
-  // Returns whether this process has delivered a message of the platform's protocol with this id lately.
-  bool WasDeliveredLately(const Request& request, Time now);
+  // What is remembered of the ids of the platform's protocol, whose messages are not retained.
+  IdHistory& id_history() { return id_history_; }
 
   // The number of messages that have not completed yet.
   int pending_count() const { return pending_count_; }
@@ -83,7 +83,7 @@
   std::map<std::uint64_t, Message> messages_;
   std::unordered_map<std::string, std::uint64_t> numbers_by_key_;  // by MakeDeduplicationKey()
   std::deque<RetainedMessage> retained_;                           // oldest first
-  RecentDeliveries recent_deliveries_;  // of the platform's protocol, whose messages are not retained
+  IdHistory id_history_;
   std::uint64_t next_number_ = 1;
   int pending_count_ = 0;
 };
--- a/src/frontend/http_response.cpp
+++ b/src/frontend/http_response.cpp
@@ -10,6 +10,7 @@
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
 constexpr int kMethodNotAllowed = 405;
+constexpr int kConflict = 409;
 constexpr int kTooManyRequests = 429;
 constexpr int kServiceUnavailable = 503;
 
@@ -21,6 +22,8 @@
       return kTooManyRequests;
     case AdmissionStatus::kShuttingDown:
       return kServiceUnavailable;
+    case AdmissionStatus::kWithdrawn:
+      return kConflict;
     case AdmissionStatus::kInvalid:
       break;
   }
@@ -49,6 +52,11 @@
 AdmissionCallback MakeResponder(std::shared_ptr<Exchange> exchange) {
   return [exchange = std::move(exchange)](const AdmissionResult& result) {
     if (exchange->is_closed()) return false;
+    // A client sends a request again on a new connection only.
+    if (result.is_repeat && !exchange->is_first_request()) {
+      exchange->Drop();
+      return false;
+    }
     Respond(*exchange, result);
     return true;
   };
--- a/src/frontend/http_response.h
+++ b/src/frontend/http_response.h
@@ -13,7 +13,8 @@
 
 // Returns a callback that sends the status, the reason and the Retry-After time of an admission's result as
 // the response of `exchange`. The callback returns false if no response can be sent any more, for instance
-// because the client has disconnected.
+// because the client has disconnected, or if the request is a copy whose response the client would take for
+// that to its next request. The exchange then ends without one.
 AdmissionCallback MakeResponder(std::shared_ptr<Exchange> exchange);
 
 // Responds with the status 400 and the text `problem`, which says what is wrong with the request.
--- a/src/pipeline/admission_controller.cpp
+++ b/src/pipeline/admission_controller.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <map>
 #include <utility>
 
 namespace sagetally {
@@ -15,11 +16,17 @@
 constexpr char kDrainingReason[] = "draining";
 constexpr char kTableFullReason[] = "all places are taken";
 constexpr char kDiskFullReason[] = "no room on disk";
+constexpr char kTooManyIdsReason[] = "too many ids to remember";
 constexpr char kShedReason[] = "no room";
 
 }  // namespace
 
-void AdmissionController::Accept(std::vector<Request> requests, AdmissionCallback respond) {
+void AdmissionController::Accept(std::vector<Request> requests, std::vector<std::uint64_t> awaited,
+                                 AdmissionCallback respond) {
+  if (requests.empty()) {
+    waiting_clients_.push_back({std::move(awaited), std::move(respond), true});
+    return;
+  }
   if (!IsAccepting()) {
     Reject(requests, respond, {AdmissionStatus::kShuttingDown, kRetryAfter, kDrainingReason});
     return;
@@ -28,19 +35,23 @@
     Reject(requests, respond, {AdmissionStatus::kRejected, Duration(0), kTableFullReason});
     return;
   }
+  if (messages_.id_history().IsFull(clock_.Now())) {
+    Reject(requests, respond, {AdmissionStatus::kRejected, kRetryAfter, kTooManyIdsReason});
+    return;
+  }
   const std::vector<const Message*> messages = AddMessages(std::move(requests));
   if (!AppendToJournal(messages)) {
     RejectUnrecorded(messages, respond);
     return;
   }
-  WaitingClient client;
+  std::vector<std::uint64_t> numbers;
   for (const Message* message : messages) {
     if (dead_letters_ != nullptr) dead_letters_->OnAccepted(*message);
     router_.OnAccepted(*message);
-    client.message_numbers.push_back(message->number);
+    numbers.push_back(message->number);
   }
-  client.respond = std::move(respond);
-  waiting_clients_.push_back(std::move(client));
+  numbers.insert(numbers.end(), awaited.begin(), awaited.end());
+  waiting_clients_.push_back({std::move(numbers), std::move(respond), false});
 }
 
 bool AdmissionController::HasCapacityFor(std::size_t message_count) const {
@@ -74,6 +85,7 @@
                                            const AdmissionCallback& respond) {
   for (const Message* message : messages) {
     if (metrics_ != nullptr) metrics_->RecordRejection(message->request.message_class);
+    RememberRejection(message->request, SubmissionOutcome::kRejected, message->deadline);
   }
   for (const Message* message : messages) messages_.Remove(message->number);
   respond({AdmissionStatus::kRejected, kRetryAfter, kDiskFullReason});
@@ -81,12 +93,26 @@
 
 void AdmissionController::Reject(const std::vector<Request>& requests, const AdmissionCallback& respond,
                                  const AdmissionResult& result) {
+  const SubmissionOutcome outcome = result.status == AdmissionStatus::kShuttingDown
+                                        ? SubmissionOutcome::kShuttingDown
+                                        : SubmissionOutcome::kRejected;
   for (const Request& request : requests) {
     if (metrics_ != nullptr) metrics_->RecordRejection(request.message_class);
+    RememberRejection(request, outcome, clock_.Now() + request.time_left);
   }
   respond(result);
 }
 
+// The client may submit the message again under another id, so a copy of this request must not be accepted.
+// CloudEvents keep their id when they are submitted again after a rejection.
+void AdmissionController::RememberRejection(const Request& request, SubmissionOutcome outcome,
+                                            Time deadline) {
+  const Time now = clock_.Now();
+  if (request.protocol != IngressProtocol::kPlatform || messages_.id_history().IsFull(now)) return;
+  messages_.id_history().Add(request, outcome, now, deadline);
+  journal_.SaveRememberedIds();
+}
+
 bool AdmissionController::AcceptRedrive(Message message) {
   if (!IsAccepting() || !HasCapacityFor(1)) return false;
   const Message& added = messages_.Add(std::move(message));
@@ -100,13 +126,33 @@
 }
 
 void AdmissionController::RespondToWaitingClients() {
-  for (WaitingClient& client : std::exchange(waiting_clients_, {})) {
-    if (IsDurable(client)) {
-      Respond(client);
-    } else {
-      waiting_clients_.push_back(std::move(client));
+  // Several clients may wait for the same message. It counts as withdrawn only if none of them is there.
+  std::map<std::uint64_t, ResponseOutcome> outcomes;  // by message number
+  for (const WaitingClient& client : TakeDueClients()) {
+    const ResponseOutcome outcome = Respond(client);
+    for (const std::uint64_t number : client.message_numbers) {
+      const auto [entry, is_new] = outcomes.try_emplace(number, outcome);
+      if (!is_new && entry->second == ResponseOutcome::kDisconnected) entry->second = outcome;
     }
   }
+  for (const auto& [number, outcome] : outcomes) {
+    Message* message = messages_.Find(number);
+    if (message != nullptr && !message->is_response_sent) OnResponded(*message, outcome);
+  }
+}
+
+std::vector<AdmissionController::WaitingClient> AdmissionController::TakeDueClients() {
+  std::vector<WaitingClient> due;
+  for (WaitingClient& client : std::exchange(waiting_clients_, {})) {
+    (IsDurable(client) ? due : waiting_clients_).push_back(std::move(client));
+  }
+  return due;
+}
+
+bool AdmissionController::IsAwaited(std::uint64_t message_number) const {
+  return std::ranges::any_of(waiting_clients_, [&](const WaitingClient& client) {
+    return std::ranges::find(client.message_numbers, message_number) != client.message_numbers.end();
+  });
 }
 
 bool AdmissionController::IsDurable(const WaitingClient& client) {
@@ -129,31 +175,32 @@
   return message;
 }
 
-void AdmissionController::Respond(const WaitingClient& client) {
+AdmissionController::ResponseOutcome AdmissionController::Respond(const WaitingClient& client) {
   AdmissionResult result;
+  result.is_repeat = client.is_repeat;
   ResponseOutcome outcome = ResponseOutcome::kAccepted;
   if (const Message* shed = FindShedMessage(client)) {
-    result = {AdmissionStatus::kRejected, shed->retry_after, kShedReason};
+    result.status = AdmissionStatus::kRejected;
+    result.retry_after = shed->retry_after;
+    result.reason = kShedReason;
     outcome = ResponseOutcome::kRejected;
   }
-  if (!client.respond(result)) outcome = ResponseOutcome::kDisconnected;
-  for (const std::uint64_t number : client.message_numbers) {
-    if (Message* message = messages_.Find(number)) OnResponded(*message, outcome);
-  }
+  return client.respond(result) ? outcome : ResponseOutcome::kDisconnected;
 }
 
 void AdmissionController::OnResponded(Message& message, ResponseOutcome outcome) {
+  if (outcome == ResponseOutcome::kDisconnected && IsAwaited(message.number)) return;
   message.is_response_sent = true;
   if (outcome == ResponseOutcome::kDisconnected && message.final_status == FinalStatus::kPending) {
-    // The client has no response and will submit the message again, so this copy is withdrawn.
-    router_.OnWithdrawn(message);
-    completion_handler_.Complete(message, FinalStatus::kExpired);
-    return;
+    return Withdraw(message);
   }
   if (outcome != ResponseOutcome::kAccepted && message.notification_pending) {
     // The client either learned the final status from the response, or has no response and will submit the
     // message again. In both cases neither a dead letter nor a notification is due.
     const std::uint64_t number = message.number;
+    if (outcome == ResponseOutcome::kRejected) {
+      RememberRejection(message.request, SubmissionOutcome::kRejected, message.deadline);
+    }
     completion_handler_.OnDeadLettered(number);
     completion_handler_.OnNotificationAcknowledged(number);
     return;
@@ -161,4 +208,16 @@
   completion_handler_.NotifyClient(message);
 }
 
+// The client has no response and will submit the message again. The message was not sent, because no call is
+// made before the response.
+void AdmissionController::Withdraw(Message& message) {
+  const Request request = {.id = message.request.id, .protocol = message.request.protocol};
+  const Time deadline = message.deadline;
+  router_.OnWithdrawn(message);
+  completion_handler_.Complete(message, FinalStatus::kExpired);
+  if (request.protocol != IngressProtocol::kPlatform) return;
+  messages_.id_history().Add(request, SubmissionOutcome::kWithdrawn, clock_.Now(), deadline);
+  journal_.SaveRememberedIds();
+}
+
 }  // namespace sagetally
--- a/src/pipeline/admission_controller.h
+++ b/src/pipeline/admission_controller.h
@@ -40,8 +40,10 @@
         metrics_(metrics) {}
 
   // Accepts or rejects all requests of a submission. `respond` is called exactly once: during this call if
-  // the requests are rejected, otherwise by RespondToWaitingClients().
-  void Accept(std::vector<Request> requests, AdmissionCallback respond);
+  // the requests are rejected, otherwise by RespondToWaitingClients(). `awaited` are messages of earlier
+  // submissions whose response is still pending and which this submission repeats; its response comes with
+  // theirs. If `requests` is empty, the submission only repeats others.
+  void Accept(std::vector<Request> requests, std::vector<std::uint64_t> awaited, AdmissionCallback respond);
   // Rejects all requests of a submission with `result`.
   void Reject(const std::vector<Request>& requests, const AdmissionCallback& respond,
               const AdmissionResult& result);
@@ -63,6 +65,7 @@
   struct WaitingClient {
     std::vector<std::uint64_t> message_numbers;
     AdmissionCallback respond;
+    bool is_repeat = false;  // no message is its own; another client waits for the same
   };
   // What the response told the client; kDisconnected: the client received no response.
   enum class ResponseOutcome { kAccepted, kRejected, kDisconnected };
@@ -73,10 +76,14 @@
   bool AppendToJournal(const std::vector<const Message*>& messages);
   void RejectUnrecorded(const std::vector<const Message*>& messages, const AdmissionCallback& respond);
 
+  void RememberRejection(const Request& request, SubmissionOutcome outcome, Time deadline);
+  std::vector<WaitingClient> TakeDueClients();
   bool IsDurable(const WaitingClient& client);
+  bool IsAwaited(std::uint64_t message_number) const;
   const Message* FindShedMessage(const WaitingClient& client);
-  void Respond(const WaitingClient& client);
+  ResponseOutcome Respond(const WaitingClient& client);
   void OnResponded(Message& message, ResponseOutcome outcome);
+  void Withdraw(Message& message);
 
   MessageTable& messages_;
   Journal& journal_;
--- a/src/pipeline/request_validator.cpp
+++ b/src/pipeline/request_validator.cpp
@@ -1,5 +1,6 @@
 #include "pipeline/request_validator.h"
 
+#include <algorithm>
 #include <chrono>
 #include <set>
 #include <string>
@@ -41,17 +42,26 @@
       respond({AdmissionStatus::kInvalid, Duration(0), std::string(DescribeRequestError(*error))});
       return;
     }
-    if (const std::optional<AdmissionResult> rejection = FindRejection(request)) {
-      admission_.Reject(requests, respond, *rejection);
-      return;
-    }
   }
-  std::vector<Request> new_requests = RemoveDuplicates(std::move(requests));
-  if (new_requests.empty()) {
-    respond({});
+  if (std::ranges::any_of(requests, [this](const Request& request) { return IsBeingRedriven(request); })) {
+    admission_.Reject(requests, respond, {AdmissionStatus::kRejected, kRetryAfterRedrive, kRedriveReason});
+    return;
+  }
+  NewRequests submission = RemoveDuplicates(std::move(requests));
+  if (submission.requests.empty() && submission.awaited.empty()) {
+    respond(submission.earlier_result);
+    return;
+  }
+  // Messages to an unknown destination can't be sent and would use up the capacity. The endpoint list may be
+  // out of date, so the client may submit the message again.
+  if (!std::ranges::all_of(submission.requests, [this](const Request& request) {
+        return router_.KnowsDestination(request.destination);
+      })) {
+    admission_.Reject(submission.requests, respond,
+                      {AdmissionStatus::kRejected, Duration(0), kUnknownDestinationReason});
     return;
   }
-  admission_.Accept(std::move(new_requests), std::move(respond));
+  admission_.Accept(std::move(submission.requests), std::move(submission.awaited), std::move(respond));
 }
 
 std::optional<RequestError> RequestValidator::FindError(const Request& request) const {
@@ -67,31 +77,26 @@
   return std::nullopt;
 }
 
-std::optional<AdmissionResult> RequestValidator::FindRejection(const Request& request) const {
-  // Messages to an unknown destination can't be sent and would use up the capacity. The endpoint list may be
-  // out of date, so the client may submit the message again.
-  if (!router_.KnowsDestination(request.destination)) {
-    return AdmissionResult{AdmissionStatus::kRejected, Duration(0), kUnknownDestinationReason};
-  }
-  // If this copy were delivered as well as the redriven one, the message could take effect twice.
-  if (dead_letters_ != nullptr && dead_letters_->IsBeingRedriven(request)) {
-    return AdmissionResult{AdmissionStatus::kRejected, kRetryAfterRedrive, kRedriveReason};
-  }
-  return std::nullopt;
+// If such a copy were delivered as well as the redriven one, the message could take effect twice.
+bool RequestValidator::IsBeingRedriven(const Request& request) const {
+  return dead_letters_ != nullptr && dead_letters_->IsBeingRedriven(request);
 }
 
-// Removes the requests that were accepted before, and those that repeat an id within the submission. A
-// request whose earlier copy was rejected counts as new.
-std::vector<Request> RequestValidator::RemoveDuplicates(std::vector<Request> requests) const {
-  std::vector<Request> new_requests;
+// Removes the requests that came before, and those that repeat an id within the submission.
+RequestValidator::NewRequests RequestValidator::RemoveDuplicates(std::vector<Request> requests) {
+  NewRequests submission;
   std::set<std::string> ids;
   for (Request& request : requests) {
-    const Message* earlier = messages_.FindDuplicate(request);
-    if (earlier != nullptr && earlier->final_status != FinalStatus::kRejected) continue;
-    if (messages_.WasDeliveredLately(request, clock_.Now())) continue;
-    if (ids.insert(request.id).second) new_requests.push_back(std::move(request));
+    const std::optional<EarlierSubmission> earlier = duplicates_.Find(request);
+    if (earlier && earlier->awaited_message) {
+      submission.awaited.push_back(*earlier->awaited_message);
+    } else if (earlier) {
+      submission.earlier_result = earlier->result;
+    } else if (ids.insert(request.id).second) {
+      submission.requests.push_back(std::move(request));
+    }
   }
-  return new_requests;
+  return submission;
 }
 
 }  // namespace sagetally
--- a/src/pipeline/request_validator.h
+++ b/src/pipeline/request_validator.h
@@ -6,6 +6,7 @@
 #define SAGETALLY_SRC_PIPELINE_REQUEST_VALIDATOR_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string_view>
 #include <vector>
@@ -14,6 +15,7 @@
 #include "core/dead_letter_sink.h"
 #include "core/message_table.h"
 #include "pipeline/admission_controller.h"
+#include "pipeline/duplicate_detector.h"
 #include "pipeline/router.h"
 #include "time/clock.h"
 
@@ -42,27 +44,31 @@
   RequestValidator(const SiteSettings& site, MessageTable& messages, const Router& router,
                    AdmissionController& admission, const Clock& clock, DeadLetterSink* dead_letters)
       : site_(site),
-        messages_(messages),
+        duplicates_(messages, clock),
         router_(router),
         admission_(admission),
-        clock_(clock),
         dead_letters_(dead_letters) {}
 
   // Submits the requests of one client, of which either all are accepted or none. `respond` is called exactly
-  // once, during this call or later. For requests that were accepted before, the response says accepted, and
-  // they are not delivered again.
+  // once, during this call or later. A request that came before makes no second message: its response repeats
+  // the earlier one or comes together with it.
   void Submit(std::vector<Request> requests, AdmissionCallback respond);
 
  private:
   std::optional<RequestError> FindError(const Request& request) const;
-  std::optional<AdmissionResult> FindRejection(const Request& request) const;
-  std::vector<Request> RemoveDuplicates(std::vector<Request> requests) const;
+  bool IsBeingRedriven(const Request& request) const;
+  // The requests of one submission, without those that came before.
+  struct NewRequests {
+    std::vector<Request> requests;
+    std::vector<std::uint64_t> awaited;  // messages of earlier submissions whose response is pending
+    AdmissionResult earlier_result;      // of the latest of those that have their response
+  };
+  NewRequests RemoveDuplicates(std::vector<Request> requests);
 
   const SiteSettings& site_;
-  MessageTable& messages_;
+  DuplicateDetector duplicates_;
   const Router& router_;
   AdmissionController& admission_;
-  const Clock& clock_;
   DeadLetterSink* dead_letters_;
 };
 
