Remembered ids outlive the process

Callers saw: after a restart or a handover a late copy of a request ran again, also if its original was rejected, delivered or ended by a notice. Why it works: ids whose message has a record of its end are read back from the segments; before a segment is dropped, and at each rejection or withdrawal, the others are appended to ids-NUMBER files of 20 bytes an id in a twelfth of the disk budget at most.

--- a/src/journal/disk_space.cpp
+++ b/src/journal/disk_space.cpp
@@ -35,11 +35,11 @@
       other_bytes_(kSmallFileBlocks * kDiskBlockBytes) {}
 
 std::uint64_t DiskSpace::used() const {
-  return segment_log_.disk_bytes() + other_bytes_ + DiskBlocks(reserve_.bytes());
+  return segment_log_.disk_bytes() + other_bytes_ + id_log_bytes_ + DiskBlocks(reserve_.bytes());
 }
 
 std::uint64_t DiskSpace::record_limit() const {
-  const std::uint64_t unavailable = other_bytes_ + DiskBlocks(reserve_.bytes()) +
+  const std::uint64_t unavailable = other_bytes_ + id_log_bytes_ + DiskBlocks(reserve_.bytes()) +
                                     kSegmentsForCopies * segment_bytes_ + kSpareBlocks * kDiskBlockBytes;
   return SubtractOrZero(budget_, unavailable);
 }
@@ -51,7 +51,7 @@
 }
 
 std::uint64_t DiskSpace::reserve_limit() const {
-  return SubtractOrZero(budget_, segment_log_.disk_bytes() + other_bytes_);
+  return SubtractOrZero(budget_, segment_log_.disk_bytes() + other_bytes_ + id_log_bytes_);
 }
 
 bool DiskSpace::FitsRecord(std::uint64_t frame_bytes) const {
--- a/src/journal/disk_space.h
+++ b/src/journal/disk_space.h
@@ -20,6 +20,8 @@
   // Adds the disk space of files that are neither segments nor the reserve. `disk_bytes` must be a whole
   // number of blocks.
   void AddOtherFiles(std::uint64_t disk_bytes) { other_bytes_ += disk_bytes; }
+  // Sets the disk space of the files with remembered ids, a whole number of blocks.
+  void SetIdLogBytes(std::uint64_t disk_bytes) { id_log_bytes_ = disk_bytes; }
   // Returns the disk space of all files of the journal, as the budget counts it.
   std::uint64_t used() const;
   // Returns the most disk space that the segments may take while ordinary records are appended. Copies of
@@ -40,6 +42,7 @@
   const std::uint64_t segment_bytes_;
   const SegmentLog& segment_log_;
   const DiskReserve& reserve_;
+  std::uint64_t id_log_bytes_ = 0;
   std::uint64_t other_bytes_;  // disk space of files that are neither segments nor the reserve
 };
 
--- a/src/journal/segment_journal.cpp
+++ b/src/journal/segment_journal.cpp
@@ -16,6 +16,8 @@
 constexpr Duration kMaxRetryDelay = std::chrono::milliseconds(3000);
 constexpr char kReserveName[] = "reserve";
 constexpr char kLockName[] = "lock";
+// The remembered ids may take this part of the disk budget.
+constexpr std::uint64_t kIdLogBudgetDivisor = 12;
 
 }  // namespace
 
@@ -29,6 +31,7 @@
       log_(log),
       host_(host),
       segment_log_(files, settings_.folder, clock, settings_.SyncsAnyClass()),
+      id_log_(files, settings_.folder, settings_.disk_budget / kIdLogBudgetDivisor),
       reserve_(files, segment_log_.PathOf(kReserveName), settings_.reserve_disk_space),
       disk_space_(settings_, segment_log_, reserve_),
       compactor_(segment_log_, index_, disk_space_, clock, counters_, *this),
@@ -53,6 +56,9 @@
 }
 
 void SegmentJournal::Recover() {
+  const std::optional<Manifest> manifest = ReadManifestFile(files_, settings_.folder).manifest;
+  if (manifest) messages_.id_history().SetKey(manifest->salt);
+  if (manifest) id_log_.Load(manifest->salt, messages_.id_history(), clock_.Now());
   RecoveredJournal recovered = RecoverJournal(files_, settings_, messages_, log_);
   report_ = std::move(recovered.report);
   segment_log_.Load(report_);
@@ -73,6 +79,8 @@
   is_new_ = report_.records == 0 && format1.records == 0;
   InitializeManifest();
   reserve_.OpenExisting();
+  id_log_.RemoveExpired(clock_.Now());
+  disk_space_.SetIdLogBytes(id_log_.disk_bytes());
   StartFirstSegment();
   RewriteRecoveredMessages(format1);
   FinishRecovery();
@@ -99,6 +107,7 @@
   if (manifest.salt == 0) {
     boost::random::mt19937_64 random(settings_.seed ^ static_cast<std::uint64_t>(clock_.Now().count()));
     manifest.salt = random() | 1;
+    if (messages_.id_history().size() == 0) messages_.id_history().SetKey(manifest.salt);
   }
   if (!manifest.classes.empty() && manifest.classes != settings_.class_names) {
     // RewriteRecoveredMessages then writes all messages with their new class numbers.
@@ -350,6 +359,21 @@
   return true;
 }
 
+// Without space the ids stay in memory only, because the journal must be able to drop segments then.
+void SegmentJournal::SaveRememberedIds() {
+  if (is_fenced_) return;
+  const std::deque<RememberedId> ids = messages_.id_history().TakeUnsaved();
+  const std::uint64_t max_growth = ids.size() * IdLog::kEntryBytes + kDiskBlockBytes;
+  const int error = disk_space_.FitsCopy(max_growth)
+                        ? id_log_.Append(ids, segment_log_.manifest().salt, clock_.Now())
+                        : ENOSPC;
+  disk_space_.SetIdLogBytes(id_log_.disk_bytes());
+  if (error != 0 && !has_id_log_error_) {
+    log_.Warn("journal.ids_not_saved", {{"ids", ids.size()}, {"error", ErrorText(error)}});
+  }
+  has_id_log_error_ = error != 0;
+}
+
 bool SegmentJournal::DropOldestSegment() {
   if (CheckFence()) return false;
   // The copies of the segment's states must survive a loss of power before the segment is removed.
@@ -357,6 +381,7 @@
     RequestSync();
     return false;
   }
+  SaveRememberedIds();  // the ends of messages in the segment are known from its records only
   if (!segment_log_.DropOldest()) return false;
   ++counters_.segments_dropped;
   return true;
--- a/src/journal/segment_journal.h
+++ b/src/journal/segment_journal.h
@@ -20,6 +20,7 @@
 #include "journal/file_system/file_system.h"
 #include "journal/format1_reader.h"
 #include "journal/group_commit.h"
+#include "journal/id_log.h"
 #include "journal/journal_settings.h"
 #include "journal/live_message_index.h"
 #include "journal/replay.h"
@@ -72,6 +73,7 @@
   void AppendCompletion(const Message& message) override;
   void AppendNotified(const Message& message) override;
   void AppendDeadLettered(const Message& message) override;
+  void SaveRememberedIds() override;
   bool IsDurable(const Message& message) const override;
 
   // Stops all writing, because another process continues with the journal.
@@ -200,6 +202,7 @@
   std::unique_ptr<FileLock> lock_;
   SegmentLog segment_log_;
   LiveMessageIndex index_;
+  IdLog id_log_;
   DiskReserve reserve_;
   DiskSpace disk_space_;
   Counters counters_;
@@ -209,11 +212,12 @@
   ReplayReport report_;
   std::string replay_summary_;
   bool is_new_ = false;
-  bool is_full_ = false;        // new messages are rejected until there is space
-  bool is_unwritable_ = false;  // a required record could not be written and has yet to be retried
-  bool is_retrying_ = false;    // RetryUnwritten is running, so that Write works though is_unwritable_ is set
-  bool is_broken_ = false;      // after a failed sync, its records could not be written to another file
-  bool is_fenced_ = false;      // another process has taken over the journal
+  bool has_id_log_error_ = false;  // the last ids could not be saved
+  bool is_full_ = false;           // new messages are rejected until there is space
+  bool is_unwritable_ = false;     // a required record could not be written and has yet to be retried
+  bool is_retrying_ = false;  // RetryUnwritten is running, so that Write works though is_unwritable_ is set
+  bool is_broken_ = false;    // after a failed sync, its records could not be written to another file
+  bool is_fenced_ = false;    // another process has taken over the journal
   // Set to false by the destructor. A background sync may complete after that and must not use the journal.
   std::shared_ptr<bool> is_alive_ = std::make_shared<bool>(true);
 };
