A delivery by an answer that may be a copy is provisional until no shift can show

Cause: a 200 was final at once; that its connection was one answer behind showed when the message was gone. A 200 was in doubt only if it was early or the endpoint distrusted, and a verified call ended with its candidate when its time was over. The connection rests until the call's own answer would usually have come and stays readable until the call's time is over (UnconfirmedDeliveries). If an answer without a call shows the shift, the message comes back as one that may have run; its class decides the rest. After SIGKILL the call counts as in flight. Successes hold no slot any more.

--- a/src/admin/metrics.h
+++ b/src/admin/metrics.h
@@ -39,11 +39,14 @@
   void RecordCallWritten() override { ++attempts_; }
   // Counts a response that was not accepted at once, because it may be a repeat of an earlier one.
   void RecordVerifiedResponse() { ++verified_responses_; }
+  // Counts a delivery that was revoked, because the response was a repeat of an earlier one.
+  void RecordRevokedDelivery() { ++revoked_deliveries_; }
   // Counts a response that came on an endpoint's connection without a call that asked for it.
   void RecordUnexpectedResponse() { ++unexpected_responses_; }
 
-  // Returns the counters and gauges, and of verified and unexpected responses those above 0, in the statsd
-  // line format, for example "balancer.passed.aviso:812|c" and "balancer.in_progress:14|g".
+  // Returns the counters and gauges, and of verified and unexpected responses and revoked deliveries those
+  // above 0, in the statsd line format, for example "balancer.passed.aviso:812|c" and
+  // "balancer.in_progress:14|g".
   std::string FormatStatsd(const GaugeValues& gauges) const;
 
  private:
@@ -61,6 +64,7 @@
   std::uint64_t attempts_ = 0;
   std::uint64_t verified_responses_ = 0;
   std::uint64_t unexpected_responses_ = 0;
+  std::uint64_t revoked_deliveries_ = 0;
 };
 
 }  // namespace sagetally
--- a/src/app/dispatcher.cpp
+++ b/src/app/dispatcher.cpp
@@ -182,6 +182,7 @@
 
 void Dispatcher::OnCallResult(const CallResult& result) {
   if (const Message* message = messages_.Find(result.message_number)) {
+    if (message->is_delivery_unconfirmed && result.outcome != Outcome::kOk) metrics_.RecordRevokedDelivery();
     request_log_.OnAttemptCompleted(*message, result);
   }
   if (!handed_over()) return pipeline_.outcome_handler.OnCallResult(result);
@@ -190,7 +191,7 @@
 }
 
 void Dispatcher::OnProvisionalResult(const CallResult& result) {
-  metrics_.RecordVerifiedResponse();
+  if (result.outcome != Outcome::kOk) metrics_.RecordVerifiedResponse();
   if (const Message* message = messages_.Find(result.message_number)) {
     request_log_.OnProvisionalResult(*message, result);
   }
--- a/src/app/request_log.cpp
+++ b/src/app/request_log.cpp
@@ -186,15 +186,19 @@
               {"endpoint", message.in_flight_endpoint},
               {"connection", result.connection_number},
               {"outcome", std::string(dead_letter::Name(result.outcome))},
+              {"revoked", message.is_delivery_unconfirmed && result.outcome != Outcome::kOk},
               {"retry_after_ms", ToMilliseconds(result.retry_after)}});
 }
 
 void RequestLog::OnProvisionalResult(const Message& message, const CallResult& result) {
-  log_.Info("attempt.verifying", {{"id", message.request.id},
-                                  {"attempt", message.attempts},
-                                  {"endpoint", message.in_flight_endpoint},
-                                  {"connection", result.connection_number},
-                                  {"outcome", std::string(dead_letter::Name(result.outcome))}});
+  const LogLevel level = result.outcome == Outcome::kOk ? LogLevel::kDebug : LogLevel::kInfo;
+  if (!log_.IsEnabled(level)) return;
+  log_.Write(level, "attempt.verifying",
+             {{"id", message.request.id},
+              {"attempt", message.attempts},
+              {"endpoint", message.in_flight_endpoint},
+              {"connection", result.connection_number},
+              {"outcome", std::string(dead_letter::Name(result.outcome))}});
 }
 
 void RequestLog::OnUndelivered(const Message& message) {
--- a/src/core/message.h
+++ b/src/core/message.h
@@ -82,6 +82,8 @@
   bool is_in_flight = false;
   Time in_flight_since{0};
   std::string in_flight_endpoint = {};
+  // The call in flight has a success that is not certain yet. The dispatch policy counts it as delivered.
+  bool is_delivery_unconfirmed = false;
 
   // The earliest attempt that may have run: when it was sent, and to which endpoint.
   std::optional<Time> first_uncertain_attempt;
--- a/src/core/message_table.cpp
+++ b/src/core/message_table.cpp
@@ -59,6 +59,12 @@
   if (IsRetainedAfterCompletion(message) && !message.dead_letter_pending) Retain(message);
 }
 
+void MessageTable::SetDeliveryUnconfirmed(Message& message, bool is_unconfirmed) {
+  if (message.is_delivery_unconfirmed == is_unconfirmed) return;
+  message.is_delivery_unconfirmed = is_unconfirmed;
+  unconfirmed_count_ += is_unconfirmed ? 1 : -1;
+}
+
 void MessageTable::MarkDeadLettered(Message& message) {
   if (!message.dead_letter_pending) return;
   message.dead_letter_pending = false;
@@ -86,6 +92,7 @@
   const auto key = numbers_by_key_.find(MakeDeduplicationKey(message.request));
   if (key != numbers_by_key_.end() && key->second == number) numbers_by_key_.erase(key);
   if (IsPending(message)) --pending_count_;
+  if (message.is_delivery_unconfirmed) --unconfirmed_count_;
   messages_.erase(found);
 }
 
--- a/src/core/message_table.h
+++ b/src/core/message_table.h
@@ -41,6 +41,8 @@
 
   // The number of messages that have not completed yet.
   int pending_count() const { return pending_count_; }
+  // The number of pending messages whose delivery is unconfirmed.
+  int unconfirmed_count() const { return unconfirmed_count_; }
   // The number of messages in the table.
   std::size_t size() const { return messages_.size(); }
   // All messages, by message number.
@@ -49,6 +51,8 @@
   // Sets the final status of a pending message. Does nothing if the message has completed already. `now` is
   // recorded as the time of the completion.
   void Complete(Message& message, FinalStatus final_status, Duration retry_after, Time now);
+  // Sets Message::is_delivery_unconfirmed.
+  void SetDeliveryUnconfirmed(Message& message, bool is_unconfirmed);
   // Called when the dead-letter store has stored the message, or has given it up for good. May remove the
   // message from the table.
   void MarkDeadLettered(Message& message);
@@ -86,6 +90,7 @@
   IdHistory id_history_;
   std::uint64_t next_number_ = 1;
   int pending_count_ = 0;
+  int unconfirmed_count_ = 0;
 };
 
 }  // namespace sagetally
--- a/src/dead_letter/redrive_loop.cpp
+++ b/src/dead_letter/redrive_loop.cpp
@@ -196,9 +196,9 @@
 
 RedrivePlanner::Load RedriveLoop::CurrentLoad() const {
   RedrivePlanner::Load load;
-  load.pending_messages = context_.messages.pending_count();
+  load.pending_messages = context_.messages.pending_count() - context_.messages.unconfirmed_count();
   for (const auto& [number, message] : context_.messages.messages()) {
-    load.calls_in_flight += message.is_in_flight ? 1 : 0;
+    load.calls_in_flight += message.is_in_flight && !message.is_delivery_unconfirmed ? 1 : 0;
   }
   return load;
 }
--- a/src/net/endpoint_connection.cpp
+++ b/src/net/endpoint_connection.cpp
@@ -49,6 +49,7 @@
       idle_timer_(loop, [this] { owner_.OnUnusable(*this); }),
       write_timer_(loop, [this] { OnWriteDeadline(); }),
       verification_timer_(loop, [this] { OnVerificationTimeout(); }),
+      confirmation_timer_(loop, [this] { OnConfirmationDue(); }),
       reader_(loop, [this] { OnInvalidResponse(); }) {
   bufferevent_setcb(buffers_.get(), OnReadable, OnOutputDrained, OnEvent, this);
   bufferevent_setwatermark(buffers_.get(), EV_READ, 0, ResponseReader::kMaxUnparsedBytes);
@@ -133,6 +134,16 @@
   idle_timer_.Schedule(std::max<Duration>(timeouts_.idle - kIdleCloseMargin, timeouts_.idle / 2));
 }
 
+bool EndpointConnection::HasSettled(Duration settling_time) const {
+  const auto now = std::chrono::steady_clock::now();
+  return now - idle_since_ >= settling_time && unconfirmed_.IsSettled(now);
+}
+
+void EndpointConnection::Drain() {
+  is_draining_ = true;
+  idle_timer_.Stop();
+}
+
 void EndpointConnection::AbandonCall(Outcome outcome) {
   if (abandoned_as_) return;
   if (candidate_) return FinishWithCandidate(false);
@@ -158,11 +169,18 @@
   buffers_.reset();
   reader_.Stop();
   for (Timer* timer : {&connect_timer_, &connect_retry_timer_, &call_timer_, &late_response_timer_,
-                       &idle_timer_, &write_timer_, &verification_timer_}) {
+                       &idle_timer_, &write_timer_, &verification_timer_, &confirmation_timer_}) {
     timer->Stop();
   }
 }
 
+void EndpointConnection::EndUnconfirmedCalls(bool is_doubtful) {
+  const auto now = std::chrono::steady_clock::now();
+  for (const CallResult& result : unconfirmed_.TakeAll(now, is_doubtful)) {
+    owner_.OnUnconfirmedCallFinished(result);
+  }
+}
+
 // Writes at once instead of in the loop's next iteration, by which time the decision to send the call and the
 // check that this connection is usable may be out of date.
 void EndpointConnection::WriteCall() {
@@ -196,10 +214,7 @@
   has_call_ = false;
   reader_.Stop();
   candidate_.reset();
-  for (Timer* timer :
-       {&connect_timer_, &call_timer_, &late_response_timer_, &write_timer_, &verification_timer_}) {
-    timer->Stop();
-  }
+  EndCallTimers();
   if (responded_late_ && result.outcome == Outcome::kOk) result.outcome = Outcome::kTimeout;
   if (responded_early_ && result.outcome != Outcome::kRejected) result.outcome = Outcome::kConnectFailed;
   // The endpoint may have given the call up as well and not count its response as a delivery, so the outcome
@@ -210,17 +225,24 @@
   owner_.OnCallFinished(*this, result, completion);
 }
 
+void EndpointConnection::EndCallTimers() {
+  for (Timer* timer :
+       {&connect_timer_, &call_timer_, &late_response_timer_, &write_timer_, &verification_timer_}) {
+    timer->Stop();
+  }
+}
+
 // A response means that the call has run, so the outcome is kError. The connection can't be used any more.
 void EndpointConnection::OnInvalidResponse() {
+  if (!has_call_) {
+    return OnUnexpectedRead(reader_.has_ok_status() ? ResponseKind::kSuccess : ResponseKind::kFailure);
+  }
   if (candidate_) ReportUnexpectedResponse();
   FinishWithoutResponse(Outcome::kError);
 }
 
 void EndpointConnection::Read() {
-  if (!has_call_) {
-    ReportUnexpectedResponse();
-    return owner_.OnUnusable(*this);
-  }
+  if (!has_call_) return ReadUnexpected();
   if (!is_connected_) return;  // OnConnected() reads them
   if (!IsWritten()) {
     responded_early_ = true;
@@ -246,7 +268,16 @@
   const bool is_reusable =
       reader_.keep_alive() && is_accepted_by_endpoint_ && !responded_early_ && !abandoned_as_;
   if (candidate_) return FinishWithSecondResponse(result);
-  if (StartVerification(result, is_reusable)) return;
+  ReportWritten();  // the response may be read before libevent reports that the call was written
+  if (!abandoned_as_ && is_write_reported_) {
+    const ResponseTracker::Response response = DescribeResponse();
+    const bool is_repeat = tracker_.IsRepeat(response);
+    unconfirmed_.OnResponse(response.kind);
+    tracker_.OnResponse(response);
+    if (StartVerification(result, response, is_reusable)) return;
+    const bool is_success = response.kind == ResponseKind::kSuccess && !responded_late_ && !responded_early_;
+    if (is_success && is_repeat) return FinishUnconfirmed(result, is_reusable);
+  }
   FinishCall(result, {.is_reusable = is_reusable, .needs_report_delay = false});
 }
 
@@ -258,13 +289,10 @@
   return response;
 }
 
-// Returns whether the response may be a repeat of an earlier one. If so, the call stays in flight until its
-// own response has come, or until that would have come.
-bool EndpointConnection::StartVerification(const CallResult& result, bool is_reusable) {
-  ReportWritten();  // the response may be read before libevent reports that the call was written
-  if (abandoned_as_ || !is_write_reported_) return false;
-  const ResponseTracker::Response response = DescribeResponse();
-  tracker_.OnResponse(response, endpoint_.response_times, endpoint_.trust.IsDistrusted(response.received_at));
+// If the response is to be verified, the call stays in flight until its own response has come, or until that
+// would have come.
+bool EndpointConnection::StartVerification(const CallResult& result,
+                                           const ResponseTracker::Response& response, bool is_reusable) {
   if (tracker_.state() != ResponseTracker::State::kVerifying) {
     endpoint_.response_times.Add(response.kind, tracker_.SinceCall(response.received_at));
     return false;
@@ -278,6 +306,70 @@
   return true;
 }
 
+// The call's own response may still come, which would show that this one was a repeat.
+void EndpointConnection::FinishUnconfirmed(const CallResult& delivered, bool is_reusable) {
+  CallResult result = delivered;
+  result.message_number = message_number_;
+  result.connection_number = number_;
+  const auto now = std::chrono::steady_clock::now();
+  unconfirmed_.Add(result, tracker_.UsualResponseEnd(endpoint_.response_times, now), call_deadline_);
+  has_call_ = false;
+  EndCallTimers();
+  reader_.Stop();
+  reader_.ExpectResponse();
+  ScheduleConfirmation();
+  owner_.OnCallUnconfirmed(*this, result, is_reusable);
+  if (buffers_ && evbuffer_get_length(input()) > 0) ReadUnexpected();
+}
+
+void EndpointConnection::ScheduleConfirmation() {
+  if (unconfirmed_.empty()) return confirmation_timer_.Stop();
+  const auto delay = unconfirmed_.next_confirmation() - std::chrono::steady_clock::now();
+  confirmation_timer_.Schedule(std::max(Duration(0), std::chrono::ceil<Duration>(delay)));
+}
+
+void EndpointConnection::OnConfirmationDue() {
+  if (!has_call_ && HasUnreadBytes()) ReadUnexpected();
+  if (!buffers_) return;
+  for (const CallResult& result : unconfirmed_.TakeConfirmed(std::chrono::steady_clock::now())) {
+    owner_.OnUnconfirmedCallFinished(result);
+  }
+  ScheduleConfirmation();
+  if (is_draining_ && unconfirmed_.empty()) owner_.OnUnusable(*this);
+}
+
+// Reads a response that no call asked for, because it may be the own response of an unconfirmed call.
+void EndpointConnection::ReadUnexpected() {
+  ReportUnexpectedResponse();
+  if (unconfirmed_.empty()) return owner_.OnUnusable(*this);
+  if (!is_draining_) owner_.OnDraining(*this);
+  while (buffers_ && !unconfirmed_.empty() && evbuffer_get_length(input()) > 0) {
+    switch (reader_.Read(input())) {
+      case ResponseReader::State::kIncomplete:
+        return;
+      case ResponseReader::State::kComplete:
+        OnUnexpectedRead(DescribeResponse().kind);
+        break;
+      case ResponseReader::State::kInvalid:
+        return OnInvalidResponse();
+    }
+  }
+}
+
+void EndpointConnection::OnUnexpectedRead(ResponseKind kind) {
+  reader_.Stop();
+  reader_.ExpectResponse();
+  RevokeUnconfirmed(kind);
+  if (unconfirmed_.empty()) owner_.OnUnusable(*this);
+}
+
+void EndpointConnection::RevokeUnconfirmed(ResponseKind kind) {
+  for (const CallResult& result : unconfirmed_.OnUnexpectedResponse(kind)) {
+    owner_.OnUnconfirmedCallFinished(result);
+  }
+  ScheduleConfirmation();
+}
+
 void EndpointConnection::OnVerificationTimeout() {
   if (reader_.has_begun()) return;  // the response timeout applies
   if (tracker_.state() == ResponseTracker::State::kDesynchronized) return FinishWithCandidate(false);
@@ -297,6 +389,7 @@
 void EndpointConnection::FinishWithSecondResponse(const CallResult& second) {
   const ResponseTracker::Response response = DescribeResponse();
   ReportUnexpectedResponse();
+  RevokeUnconfirmed(response.kind);
   if (response.fingerprint == candidate_->fingerprint) {
     ExpectAnotherResponse();
     return;
@@ -346,6 +439,9 @@
 }
 
 void EndpointConnection::OnClosedByPeer(short events) {
+  if (!has_call_ && (events & BEV_EVENT_EOF) != 0 && !unconfirmed_.empty() && reader_.ReadEndOfStream()) {
+    RevokeUnconfirmed(DescribeResponse().kind);
+  }
   if (!has_call_) return owner_.OnUnusable(*this);
   if ((events & BEV_EVENT_EOF) != 0 && reader_.ReadEndOfStream()) return FinishWithResponse();
   const bool is_distrusted = endpoint_.trust.IsDistrusted(std::chrono::steady_clock::now());
--- a/src/net/endpoint_connection.h
+++ b/src/net/endpoint_connection.h
@@ -18,6 +18,7 @@
 #include "net/response_times.h"
 #include "net/response_tracker.h"
 #include "net/transfer_resumer.h"
+#include "net/unconfirmed_deliveries.h"
 
 namespace sagetally {
 
@@ -78,6 +79,14 @@
     // Called when the response with this result may be a repeat of an earlier one, so that another one is
     // awaited. `result` is not final.
     virtual void OnVerificationStarted(const CallResult& result) = 0;
+    // Called when a call has ended with a success that is confirmed or revoked later. The connection may
+    // carry another call if `is_reusable`.
+    virtual void OnCallUnconfirmed(EndpointConnection& connection, const CallResult& result,
+                                   bool is_reusable) = 0;
+    // Called with the final result of such a call: a success, or kReset if it may not have succeeded.
+    virtual void OnUnconfirmedCallFinished(const CallResult& result) = 0;
+    // Called when the connection must not carry another call, but stays open until its calls are confirmed.
+    virtual void OnDraining(EndpointConnection& connection) = 0;
     // Called when a response has come that no call asked for. OnCallFinished() or OnUnusable() follows.
     virtual void OnUnexpectedResponse(EndpointConnection& connection, const UnexpectedResponse& response) = 0;
     // Called when the connection can't carry another call. The owner must Close() it now and delete it after
@@ -108,6 +117,13 @@
   // Returns whether the connection may carry another call: it was opened to the endpoint's current address,
   // the endpoint was not removed, and neither bytes nor a close nor a reset have arrived unexpectedly.
   bool IsUsable() const;
+  // Returns whether a call on this connection has yet to be confirmed.
+  bool has_unconfirmed_calls() const { return !unconfirmed_.empty(); }
+  // Returns whether the connection has been idle for `settling_time`, and the own responses of its calls
+  // would usually have come.
+  bool HasSettled(Duration settling_time) const;
+  // From now on the connection carries no calls and is closed once its calls are confirmed.
+  void Drain();
   // Returns whether the last byte of the call was written to the socket.
   bool IsWritten() const;
 
@@ -122,6 +138,9 @@
   void AbandonCall(Outcome outcome);
   // Ends the call at once with the result `outcome`, or with kOk if a status line with 200 was received.
   void FinishWithoutResponse(Outcome outcome);
+  // Ends the calls that are unconfirmed, because the connection is about to be closed. With `is_doubtful`,
+  // those whose own response would usually come later may have run; the others are delivered.
+  void EndUnconfirmedCalls(bool is_doubtful);
   // Closes the socket and stops all timers. Safe to call within the connection's own callbacks, unlike the
   // destructor.
   void Close();
@@ -138,7 +157,15 @@
   void WriteCall();
   void ReportWritten();
   void FinishWithResponse();
-  bool StartVerification(const CallResult& result, bool is_reusable);
+  bool StartVerification(const CallResult& result, const ResponseTracker::Response& response,
+                         bool is_reusable);
+  void FinishUnconfirmed(const CallResult& result, bool is_reusable);
+  void OnConfirmationDue();
+  void ScheduleConfirmation();
+  void ReadUnexpected();
+  void OnUnexpectedRead(ResponseKind kind);
+  void RevokeUnconfirmed(ResponseKind kind);
+  void EndCallTimers();
   void OnVerificationTimeout();
   void FinishWithCandidate(bool is_reusable);
   void FinishWithSecondResponse(const CallResult& second);
@@ -175,9 +202,12 @@
   Timer idle_timer_;
   Timer write_timer_;         // fires at write_deadline_
   Timer verification_timer_;  // ends the wait for another response
+  Timer confirmation_timer_;  // fires when the next call in unconfirmed_ is confirmed
   ResponseReader reader_;
   ResponseTracker tracker_;
   std::optional<Candidate> candidate_;
+  UnconfirmedDeliveries unconfirmed_;
+  bool is_draining_ = false;
   std::uint64_t message_number_ = 0;
   int connect_attempts_ = 0;
   bool has_call_ = false;
--- a/src/net/endpoint_pool.cpp
+++ b/src/net/endpoint_pool.cpp
@@ -83,19 +83,37 @@
 // time. Closes the unusable ones that it finds on the way.
 EndpointConnection* EndpointPool::TakeIdleConnection(PooledEndpoint& endpoint) {
   const auto now = std::chrono::steady_clock::now();
-  while (!endpoint.idle_connections.empty()) {
-    EndpointConnection* connection = endpoint.idle_connections.front();
+  const Duration settling_time = SettlingTime(endpoint.trust, trust_, now);
+  std::size_t index = 0;
+  while (index < endpoint.idle_connections.size()) {
+    EndpointConnection* connection = endpoint.idle_connections[index];
     if (connection->IsUsable()) {
-      if (now - connection->idle_since() < SettlingTime(endpoint.trust, trust_, now)) return nullptr;
-      endpoint.idle_connections.erase(endpoint.idle_connections.begin());
-      return connection;
+      if (connection->HasSettled(settling_time)) {
+        std::erase(endpoint.idle_connections, connection);
+        return connection;
+      }
+      ++index;
+    } else if (connection->has_unconfirmed_calls()) {
+      Drain(*connection);
+    } else {
+      connection->ReportUnexpectedBytes();
+      CloseConnection(*connection, ReasonWhyUnusable(*connection));
     }
-    connection->ReportUnexpectedBytes();
-    CloseConnection(*connection, ReasonWhyUnusable(*connection));
   }
   return nullptr;
 }
 
+// The connection carries no further calls, and closes itself once its calls are confirmed.
+void EndpointPool::Drain(EndpointConnection& connection) {
+  std::erase(connection.endpoint().idle_connections, &connection);
+  connection.Drain();
+}
+
+void EndpointPool::CloseOrDrain(EndpointConnection& connection, EndpointCloseReason reason) {
+  if (connection.has_unconfirmed_calls()) return Drain(connection);
+  CloseConnection(connection, reason);
+}
+
 // At the limit of connections to the endpoint, closes the one that became idle last. Returns false if the
 // limit is reached and none is idle.
 bool EndpointPool::EnsureEndpointSlot(PooledEndpoint& endpoint) {
@@ -152,7 +170,7 @@
 
 void EndpointPool::CloseIdleConnections(const PooledEndpoint& endpoint, EndpointCloseReason reason) {
   const std::vector<EndpointConnection*> idle = endpoint.idle_connections;
-  for (EndpointConnection* connection : idle) CloseConnection(*connection, reason);
+  for (EndpointConnection* connection : idle) CloseOrDrain(*connection, reason);
 }
 
 void EndpointPool::Shutdown() {
@@ -161,7 +179,7 @@
   for (const auto& [name, endpoint] : endpoints_) {
     idle.insert(idle.end(), endpoint.idle_connections.begin(), endpoint.idle_connections.end());
   }
-  for (EndpointConnection* connection : idle) CloseConnection(*connection, EndpointCloseReason::kShutdown);
+  for (EndpointConnection* connection : idle) CloseOrDrain(*connection, EndpointCloseReason::kShutdown);
 }
 
 void EndpointPool::OnCallWritten() {
@@ -181,6 +199,8 @@
   if (completion.is_reusable && !is_shutting_down_ && connection.IsUsable()) {
     connection.BecomeIdle();
     connection.endpoint().idle_connections.push_back(&connection);
+  } else if (completion.is_reusable && connection.has_unconfirmed_calls()) {
+    Drain(connection);
   } else {
     if (completion.is_reusable) connection.ReportUnexpectedBytes();
     CloseConnection(connection,
@@ -193,6 +213,25 @@
   }
 }
 
+void EndpointPool::OnCallUnconfirmed(EndpointConnection& connection, const CallResult& result,
+                                     bool is_reusable) {
+  connections_by_message_.erase(result.message_number);
+  unconfirmed_messages_.insert(result.message_number);
+  provisional_results_.push_back(result);
+  immediate_timer_.Schedule(Duration(0));
+  if (is_reusable && !is_shutting_down_ && connection.IsUsable()) {
+    connection.BecomeIdle();
+    connection.endpoint().idle_connections.push_back(&connection);
+  } else {
+    Drain(connection);
+  }
+}
+
+void EndpointPool::OnUnconfirmedCallFinished(const CallResult& result) {
+  unconfirmed_messages_.erase(result.message_number);
+  ReportSoon(result);
+}
+
 // Reports the result from a timer although no delay is needed, because the caller may be in the middle of a
 // state change.
 void EndpointPool::ReportSoon(const CallResult& result) {
@@ -235,6 +274,12 @@
   if (on_connection_closed) {
     on_connection_closed({connection.number(), connection.opened_address(), reason, connection.call_count()});
   }
+  // If the pool ends the connection, there is a reason for doubt only where repeats were seen.
+  const bool is_ended_by_pool =
+      reason == EndpointCloseReason::kEvicted || reason == EndpointCloseReason::kEndpointChanged ||
+      reason == EndpointCloseReason::kShutdown || reason == EndpointCloseReason::kIdleTimeout;
+  const bool is_distrusted = connection.endpoint().trust.IsDistrusted(std::chrono::steady_clock::now());
+  connection.EndUnconfirmedCalls(!is_ended_by_pool || is_distrusted);
   connection.Close();
   PooledEndpoint& endpoint = connection.endpoint();
   std::erase(endpoint.idle_connections, &connection);
--- a/src/net/endpoint_pool.h
+++ b/src/net/endpoint_pool.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -88,7 +89,8 @@
   void Shutdown();
   // Returns whether every call that was started has been reported.
   bool is_idle() const {
-    return connections_by_message_.empty() && immediate_results_.empty() && delayed_results_.empty();
+    return connections_by_message_.empty() && unconfirmed_messages_.empty() && immediate_results_.empty() &&
+           delayed_results_.empty();
   }
   // The number of known endpoints, including removed ones with open connections.
   std::size_t endpoint_count() const { return endpoints_.size(); }
@@ -107,12 +109,17 @@
     provisional_results_.push_back(result);
     immediate_timer_.Schedule(Duration(0));
   }
+  void OnCallUnconfirmed(EndpointConnection& connection, const CallResult& result, bool is_reusable) override;
+  void OnUnconfirmedCallFinished(const CallResult& result) override;
+  void OnDraining(EndpointConnection& connection) override { Drain(connection); }
   void OnUnusable(EndpointConnection& connection) override {
     CloseConnection(connection, ReasonWhyUnusable(connection));
   }
 
   EndpointConnection* OpenConnection(PooledEndpoint& endpoint);
   EndpointConnection* TakeIdleConnection(PooledEndpoint& endpoint);
+  static void Drain(EndpointConnection& connection);
+  void CloseOrDrain(EndpointConnection& connection, EndpointCloseReason reason);
   bool EnsureEndpointSlot(PooledEndpoint& endpoint);
   bool EnsureConnectionSlot();
   void CancelUnsentCallsTo(const PooledEndpoint& endpoint);
@@ -130,7 +137,8 @@
   std::map<std::string, PooledEndpoint> endpoints_;
   std::map<EndpointConnection*, std::unique_ptr<EndpointConnection>> connections_;
   std::map<std::uint64_t, EndpointConnection*>
-      connections_by_message_;  // of calls in flight, by message number
+      connections_by_message_;                    // of calls in flight, by message number
+  std::set<std::uint64_t> unconfirmed_messages_;  // whose call has ended, but not with its final result
   std::vector<CallResult> immediate_results_;
   std::vector<CallResult> provisional_results_;
   std::deque<DelayedResult> delayed_results_;  // in the order of report_at
--- a/src/net/endpoint_trust.h
+++ b/src/net/endpoint_trust.h
@@ -29,9 +29,9 @@
 // from the endpoint arrives within it, and shows that the connection can't be used.
 constexpr Duration kSettlingTime = std::chrono::milliseconds(25);
 // The same while another endpoint of this process is distrusted, because the cause may be on a common path.
-constexpr Duration kCautiousSettlingTime = std::chrono::milliseconds(250);
+constexpr Duration kCautiousSettlingTime = std::chrono::milliseconds(50);
 // The same while the endpoint itself is distrusted.
-constexpr Duration kDistrustedSettlingTime = std::chrono::milliseconds(1000);
+constexpr Duration kDistrustedSettlingTime = std::chrono::milliseconds(250);
 
 // Returns the settling time of the connections to an endpoint. `any_endpoint` is the trust in all endpoints
 // together.
--- a/src/net/response_times.cpp
+++ b/src/net/response_times.cpp
@@ -13,12 +13,6 @@
   samples.count += 1;
 }
 
-std::optional<Duration> ResponseTimes::Shortest(ResponseKind kind) const {
-  const Samples& samples = samples_by_kind_.at(static_cast<std::size_t>(kind));
-  if (samples.count < kSampleCount) return std::nullopt;
-  return Duration(*std::ranges::min_element(samples.microseconds));
-}
-
 std::optional<Duration> ResponseTimes::Longest() const {
   std::optional<Duration> longest;
   for (const Samples& samples : samples_by_kind_) {
--- a/src/net/response_times.h
+++ b/src/net/response_times.h
@@ -18,8 +18,6 @@
 class ResponseTimes {
  public:
   void Add(ResponseKind kind, Duration time);
-  // The shortest of the latest times of this kind. Empty until kSampleCount responses of the kind are known.
-  std::optional<Duration> Shortest(ResponseKind kind) const;
   // The longest of the latest times of any kind. Empty until one is known.
   std::optional<Duration> Longest() const;
 
--- a/src/net/response_tracker.h
+++ b/src/net/response_tracker.h
@@ -37,18 +37,20 @@
 
   // To be called when the last byte of a call was written.
   void OnCallWritten(TimePoint now);
-  // To be called with the first response after OnCallWritten(). If it may be a repeat of an earlier response,
-  // the state is kVerifying afterwards, and otherwise kSettling.
-  void OnResponse(const Response& response, const ResponseTimes& times, bool is_endpoint_distrusted);
+  // To be called with the first response after OnCallWritten(). If it is no success and may be a repeat of an
+  // earlier response, the state is kVerifying afterwards, and otherwise kSettling.
+  void OnResponse(const Response& response);
   // To be called when the response in question was accepted, because no other one has come.
   void OnVerified() { state_ = State::kSettling; }
   // To be called when a response or a part of one has come that no call asked for.
   void OnUnexpectedResponse() { state_ = State::kDesynchronized; }
 
-  // Whether a response with these bytes has come in the last kRepeatWindow before the call.
+  // Whether a response with these bytes has come so shortly before the call that this one may be a repeat.
   bool IsRepeat(const Response& response) const;
-  // How long after `now` another response would have come if the one in question were a repeat.
+  // How long after `now` a response that is not a success is verified.
   Duration VerificationTime(const ResponseTimes& times, TimePoint now) const;
+  // When the call's own response would usually have come.
+  TimePoint UsualResponseEnd(const ResponseTimes& times, TimePoint now) const;
   // The time since the last byte of the latest call was written.
   Duration SinceCall(TimePoint now) const {
     return std::chrono::duration_cast<Duration>(now - call_written_at_);
--- a/src/pipeline/admission_controller.cpp
+++ b/src/pipeline/admission_controller.cpp
@@ -55,7 +55,8 @@
 }
 
 bool AdmissionController::HasCapacityFor(std::size_t message_count) const {
-  return messages_.pending_count() + static_cast<int>(message_count) <= max_pending_messages_;
+  const int pending_count = messages_.pending_count() - messages_.unconfirmed_count();
+  return pending_count + static_cast<int>(message_count) <= max_pending_messages_;
 }
 
 std::vector<const Message*> AdmissionController::AddMessages(std::vector<Request> requests) {
@@ -78,7 +79,9 @@
 bool AdmissionController::AppendToJournal(const std::vector<const Message*>& messages) {
   bool is_recorded = journal_.AppendAccepted(messages);
   while (!is_recorded && messages_.RemoveOldestRetained()) is_recorded = journal_.AppendAccepted(messages);
-  return is_recorded;
+  if (is_recorded || messages_.unconfirmed_count() == 0 || !make_room) return is_recorded;
+  make_room();
+  return AppendToJournal(messages);
 }
 
 void AdmissionController::RejectUnrecorded(const std::vector<const Message*>& messages,
--- a/src/pipeline/admission_controller.h
+++ b/src/pipeline/admission_controller.h
@@ -59,6 +59,9 @@
 
   // Returns whether this process accepts messages at present. If empty, it always does.
   std::function<bool()> is_accepting;
+  // Called when the journal has no space for a submission, to complete the messages that need not stay in it.
+  // May be empty.
+  std::function<void()> make_room;
 
  private:
   // A client whose messages were accepted and whose response is still pending.
--- a/src/pipeline/message_pipeline.cpp
+++ b/src/pipeline/message_pipeline.cpp
@@ -18,7 +18,9 @@
                            site.policy.max_pending_messages, dead_letters, metrics),
       request_validator(site, messages, router, admission_controller, clock, dead_letters),
       messages_(messages),
-      dead_letters_(dead_letters) {}
+      dead_letters_(dead_letters) {
+  admission_controller.make_room = [this] { outcome_handler.ConfirmDeliveries(); };
+}
 
 void MessagePipeline::ResumeAfterRestart() {
   std::vector<std::uint64_t> forbidden;
--- a/src/pipeline/outcome_handler.cpp
+++ b/src/pipeline/outcome_handler.cpp
@@ -1,5 +1,8 @@
 #include "pipeline/outcome_handler.h"
 
+#include <utility>
+#include <vector>
+
 #include "core/policy_message_id.h"
 
 namespace sagetally {
@@ -7,6 +10,11 @@
 void OutcomeHandler::OnCallResult(const CallResult& result) {
   Message* message = messages_.Find(result.message_number);
   if (message == nullptr || !message->is_in_flight) return;
+  if (message->is_delivery_unconfirmed) {
+    messages_.SetDeliveryUnconfirmed(*message, false);
+    if (result.outcome == Outcome::kOk) return OnDeliveryConfirmed(*message, result);
+    return OnDeliveryRevoked(*message, result);
+  }
   UpdateMessage(*message, result);
   if (dead_letters_ != nullptr) dead_letters_->OnCallCompleted(*message, result);
   attempt_history_.Add(ToCompletedAttempt(*message, result));
@@ -27,12 +35,50 @@
 }
 
 void OutcomeHandler::OnProvisionalResult(const CallResult& result) {
-  const Message* message = messages_.Find(result.message_number);
-  if (message == nullptr || !message->is_in_flight || result.retry_after <= Duration(0)) return;
+  Message* message = messages_.Find(result.message_number);
+  if (message == nullptr || !message->is_in_flight || message->is_delivery_unconfirmed) return;
+  if (result.outcome == Outcome::kOk && message->final_status == FinalStatus::kPending) {
+    // The number of redrives at a time is limited until their completion, so they don't wait for certainty.
+    if (message->redrive_number != 0) return OnCallResult(result);
+    messages_.SetDeliveryUnconfirmed(*message, true);
+    attempt_history_.Add(ToCompletedAttempt(*message, result));
+    AttemptCompleted event = ToPolicyEvent(*message, result);
+    event.message_ended = true;
+    router_.QueueEvent(std::move(event));
+    return;
+  }
+  if (result.retry_after <= Duration(0)) return;
   router_.QueueEvent(
       RetryAfterReceived{ToPolicyMessageId(message->number), message->attempts - 1, result.retry_after});
 }
 
+void OutcomeHandler::ConfirmDeliveries() {
+  if (messages_.unconfirmed_count() == 0) return;
+  std::vector<std::uint64_t> numbers;
+  for (const auto& [number, message] : messages_.messages()) {
+    if (message.is_delivery_unconfirmed) numbers.push_back(number);
+  }
+  for (const std::uint64_t number : numbers) {
+    CallResult result;
+    result.message_number = number;
+    OnCallResult(result);
+  }
+}
+
+void OutcomeHandler::OnDeliveryConfirmed(Message& message, const CallResult& result) {
+  UpdateMessage(message, result);
+  if (dead_letters_ != nullptr) dead_letters_->OnCallCompleted(message, result);
+  completion_handler_.Complete(message, FinalStatus::kDelivered);
+}
+
+// The response was a repeat of an earlier one, so the message may have run and is given back to the policy.
+void OutcomeHandler::OnDeliveryRevoked(Message& message, const CallResult& result) {
+  UpdateMessage(message, result);
+  if (dead_letters_ != nullptr) dead_letters_->OnCallCompleted(message, result);
+  journal_.AppendOutcome(message, result.outcome);
+  router_.OnAccepted(message);
+}
+
 void OutcomeHandler::UpdateMessage(Message& message, const CallResult& result) const {
   message.is_in_flight = false;
   if (MayHaveRun(result.outcome) && !message.first_uncertain_attempt) {
--- a/src/pipeline/outcome_handler.h
+++ b/src/pipeline/outcome_handler.h
@@ -32,11 +32,16 @@
 
   // Handles the result of a call. Ignores results for a message that is unknown or has no call in flight.
   void OnCallResult(const CallResult& result);
-  // Handles a result that is not certain yet: the call stays in flight, but a pause that the endpoint asks
-  // for is kept from now on.
+  // Handles a result that is not certain yet; OnCallResult() follows. The message stays in flight, also in
+  // the journal. A pause that the endpoint asks for is kept from now on, and the dispatch policy counts a
+  // success as delivered.
   void OnProvisionalResult(const CallResult& result);
+  // Completes all messages whose delivery is unconfirmed as delivered, to make room in the journal.
+  void ConfirmDeliveries();
 
  private:
+  void OnDeliveryConfirmed(Message& message, const CallResult& result);
+  void OnDeliveryRevoked(Message& message, const CallResult& result);
   void UpdateMessage(Message& message, const CallResult& result) const;
   CompletedAttempt ToCompletedAttempt(const Message& message, const CallResult& result) const;
   AttemptCompleted ToPolicyEvent(const Message& message, const CallResult& result) const;
--- a/tests/net/endpoint_pool_fixture.h
+++ b/tests/net/endpoint_pool_fixture.h
@@ -52,6 +52,9 @@
     std::signal(SIGPIPE, SIG_IGN);
     SetState(EndpointRecord::State::kUp);
     request.id = "a";
+    pool.on_provisional_result = [this](const CallResult& result) {
+      provisional_outcomes[result.message_number] = result.outcome;
+    };
   }
   void SetState(EndpointRecord::State state) {
     EndpointUpdate update;
@@ -85,9 +88,15 @@
     RunUntil(loop, [&] { return outcomes.contains(number); });
     return outcomes.at(number);
   }
+  // Waits until the call has a response, which need not be its final outcome, and returns that.
+  Outcome WaitForResponse(std::uint64_t number) {
+    RunUntil(loop, [&] { return outcomes.contains(number) || provisional_outcomes.contains(number); });
+    return outcomes.contains(number) ? outcomes.at(number) : provisional_outcomes.at(number);
+  }
   EventLoop loop;
   RawEndpoint endpoint;
   std::map<std::uint64_t, Outcome> outcomes;
+  std::map<std::uint64_t, Outcome> provisional_outcomes;
   Duration last_retry_after{0};  // in the last result
   EndpointPool pool{loop, {1500ms, 15s, 8, 8}, [this](const CallResult& result) {
                       assert(outcomes.emplace(result.message_number, result.outcome).second);
--- a/tests/net/repeated_answers_test.cpp
+++ b/tests/net/repeated_answers_test.cpp
@@ -39,7 +39,7 @@
       connection = &ReceiveCall();
       RunFor(loop, kServiceTime);
       MustSend(*connection, kOkResponse);
-      EXPECT_EQ(WaitForOutcome(first_number + static_cast<std::uint64_t>(i)), Outcome::kOk);
+      EXPECT_EQ(WaitForResponse(first_number + static_cast<std::uint64_t>(i)), Outcome::kOk);
     }
     return *connection;
   }
@@ -136,5 +136,85 @@
   EXPECT_EQ(connections.size(), 1U);
 }
 
+// A copy of a success comes late, within the next call on its connection.
+struct LateCopyOfASuccess : RepeatedAnswers {
+  static constexpr std::uint64_t kNumber = 2;  // of the message whose call gets the copy
+  static constexpr auto kTimeout = 900ms;      // of its call
+
+  LateCopyOfASuccess() : connection(AnswerCalls(1, 1)) {
+    RunFor(loop, kLongRest);
+    Call(kNumber, kTimeout);
+    EXPECT_EQ(&ReceiveCall(), &connection);
+    MustSend(connection, kOkResponse);
+    EXPECT_EQ(WaitForResponse(kNumber), Outcome::kOk);
+    EXPECT_FALSE(outcomes.contains(kNumber));
+  }
+  void ExpectMayHaveRun() { EXPECT_TRUE(MayHaveRun(WaitForOutcome(kNumber))); }
+
+  FileDescriptor& connection;
+};
+
+TEST_F(LateCopyOfASuccess, IsNoDeliveryIfTheCallIsRejected) {
+  RunFor(loop, kServiceTime);
+  MustSend(connection, kFullResponse);
+  ExpectMayHaveRun();
+}
+
+TEST_F(LateCopyOfASuccess, IsADeliveryIfTheCallSucceedsToo) {
+  RunFor(loop, kServiceTime);
+  MustSend(connection, kOkResponse);
+  EXPECT_EQ(WaitForOutcome(kNumber), Outcome::kOk);
+}
+
+TEST_F(LateCopyOfASuccess, IsADeliveryIfNothingElseComesWithinTheTimeOfTheCall) {
+  EXPECT_EQ(WaitForOutcome(kNumber), Outcome::kOk);
+}
+
+TEST_F(LateCopyOfASuccess, IsNoDeliveryIfASecondCopyComesBeforeTheRejection) {
+  MustSend(connection, kOkResponse);
+  RunFor(loop, kServiceTime);
+  MustSend(connection, kFullResponse);
+  ExpectMayHaveRun();
+}
+
+TEST_F(LateCopyOfASuccess, IsNoDeliveryIfTheConnectionEndsBeforeTheUsualTime) {
+  ResetConnection(connection);
+  ExpectMayHaveRun();
+}
+
+// The endpoint has become slow: it rejects the call when the connection carries another one.
+TEST_F(LateCopyOfASuccess, IsNoDeliveryIfTheConnectionIsSeenToBeOneResponseBehindLater) {
+  RunFor(loop, kLongRest);
+  Call(kNumber + 1);
+  ASSERT_EQ(&ReceiveCall(), &connection);
+  MustSend(connection, kErrorResponse);
+  EXPECT_EQ(WaitForResponse(kNumber + 1), Outcome::kError);
+  MustSend(connection, kOkResponse);
+  ExpectMayHaveRun();
+}
+
+TEST_F(LateCopyOfASuccess, IsNoDeliveryIfTheCallIsRejectedAfterItsEndpointWasRemoved) {
+  pool.RemoveEndpoint("s");
+  RunFor(loop, kServiceTime);
+  MustSend(connection, kFullResponse);
+  ExpectMayHaveRun();
+}
+
+TEST_F(LateCopyOfASuccess, IsNoDeliveryIfTheCallIsRejectedDuringTheShutdown) {
+  pool.Shutdown();
+  EXPECT_FALSE(pool.is_idle());
+  RunFor(loop, kServiceTime);
+  MustSend(connection, kFullResponse);
+  ExpectMayHaveRun();
+  EXPECT_TRUE(pool.is_idle());
+}
+
+TEST_F(LateCopyOfASuccess, IsNoDeliveryIfTheCallIsRejectedAfterItWasCancelled) {
+  pool.CancelCall(kNumber);
+  RunFor(loop, kServiceTime);
+  MustSend(connection, kFullResponse);
+  ExpectMayHaveRun();
+}
+
 }  // namespace
 }  // namespace sagetally
--- a/tests/pipeline/pipeline_node.h
+++ b/tests/pipeline/pipeline_node.h
@@ -99,6 +99,14 @@
     pipeline.outcome_handler.OnCallResult(result);
     RunPending();
   }
+  // Reports a result that is not final for the oldest call, which stays in `calls`.
+  void ReportProvisionalResult(Outcome outcome) {
+    CallResult result;
+    result.message_number = calls.front().message_number;
+    result.outcome = outcome;
+    pipeline.outcome_handler.OnProvisionalResult(result);
+    RunPending();
+  }
   // Syncs the files of all pending syncs and reports the results to the journal.
   void CompleteSyncs() {
     for (const PendingSync& sync : std::exchange(syncs, {})) sync.done(sync.file->Sync());
