An event whose client had gone is delivered when it is submitted again

Callers saw: a CloudEvent whose client had gone before the response was withdrawn; the same event, submitted again as the README has it, was answered 202 and never delivered: lost. Cause: a withdrawn event ended as expired and was kept for 5 minutes as one that had been accepted. Found: while the owners of an id's end were gone through; AnEventThatWasWithdrawnIsDeliveredWhenItComesAgain had 0 calls before. Why it works: it ends like a rejected event, of which nothing is kept. It was never sent, as calls wait for the response.

--- a/src/pipeline/admission_controller.cpp
+++ b/src/pipeline/admission_controller.cpp
@@ -214,6 +214,7 @@
 // The client has no response and will submit the message again. The message was not sent, because no call is
 // made before the response.
 void AdmissionController::Withdraw(Message& message) {
+  if (message.request.protocol == IngressProtocol::kCloudEvents) return WithdrawEvent(message);
   const Request request = {.id = message.request.id, .protocol = message.request.protocol};
   const Time deadline = message.deadline;
   router_.OnWithdrawn(message);
@@ -223,4 +224,16 @@
   journal_.SaveRememberedIds();
 }
 
+// An event keeps its id when it is submitted again, so it ends like a rejected one, of which no trace is
+// kept.
+void AdmissionController::WithdrawEvent(Message& message) {
+  const std::uint64_t number = message.number;
+  router_.OnWithdrawn(message);
+  message.is_response_sent = false;  // nobody is to be notified
+  completion_handler_.Complete(message, FinalStatus::kRejected);
+  message.is_response_sent = true;
+  completion_handler_.OnDeadLettered(number);
+  completion_handler_.OnNotificationAcknowledged(number);
+}
+
 }  // namespace sagetally
--- a/src/pipeline/admission_controller.h
+++ b/src/pipeline/admission_controller.h
@@ -87,6 +87,7 @@
   ResponseOutcome Respond(const WaitingClient& client);
   void OnResponded(Message& message, ResponseOutcome outcome);
   void Withdraw(Message& message);
+  void WithdrawEvent(Message& message);
 
   MessageTable& messages_;
   Journal& journal_;
--- a/tests/pipeline/repeated_requests_test.cpp
+++ b/tests/pipeline/repeated_requests_test.cpp
@@ -213,6 +213,32 @@
   EXPECT_EQ(node->messages.size(), 0U);
 }
 
+// The client of an event has gone before its response, and submits the event again.
+TEST_F(RepeatedRequestsOfASyncedClass, AnEventThatWasWithdrawnIsDeliveredWhenItComesAgain) {
+  const auto submit = [this](WaitingClient& client) {
+    Request request;
+    request.id = "source event";
+    request.protocol = IngressProtocol::kCloudEvents;
+    request.message_class = kPagamentoClass;
+    request.destination = 7;
+    request.time_left = seconds(8);
+    node->pipeline.request_validator.Submit({request}, [&client](const AdmissionResult& result) {
+      if (client.is_connected) client.response = result;
+      return client.is_connected;
+    });
+    node->RunPending();
+  };
+  submit(first);
+  first.is_connected = false;
+  Sync();
+  clock.now += seconds(1);
+  submit(second);
+  Sync();
+  EXPECT_EQ(second.response.value().status, AdmissionStatus::kAccepted);
+  EXPECT_EQ(node->calls.size(), 1U);
+  EXPECT_TRUE(node->notified.empty());
+}
+
 TEST(IdLog, SkipsDamagedEntriesAndEntriesOfAnotherJournal) {
   const RememberedId id{0x1234567890abcdef, Time(0), Time(seconds(1'700'000'000)),
                         SubmissionOutcome::kShuttingDown};
