Connections with unconfirmed deliveries are not closed to make room for others

At the limit of connections to the endpoint the pool evicted a connection that rested, which ended its delivery as confirmed. Now a connection without unconfirmed calls gives way, and if there is none, the limit may be exceeded up to twice.

--- a/src/net/endpoint_pool.cpp
+++ b/src/net/endpoint_pool.cpp
@@ -79,11 +79,10 @@
   connection->StartCall(call);
 }
 
-// Returns the usable connection that has been idle longest, or null if none has been idle for the settling
-// time. Closes the unusable ones that it finds on the way.
+// Returns the usable connection that has been idle longest of those that have settled, or null. Closes the
+// unusable ones that it finds on the way.
 EndpointConnection* EndpointPool::TakeIdleConnection(PooledEndpoint& endpoint) {
-  const auto now = std::chrono::steady_clock::now();
-  const Duration settling_time = SettlingTime(endpoint.trust, trust_, now);
+  const Duration settling_time = SettlingTime(endpoint.trust, trust_, std::chrono::steady_clock::now());
   std::size_t index = 0;
   while (index < endpoint.idle_connections.size()) {
     EndpointConnection* connection = endpoint.idle_connections[index];
@@ -114,12 +113,20 @@
   CloseConnection(connection, reason);
 }
 
-// At the limit of connections to the endpoint, closes the one that became idle last. Returns false if the
-// limit is reached and none is idle.
+// At the limit of connections to the endpoint, closes the one that became idle last. Closing one whose calls
+// are unconfirmed would leave them in doubt, so the limit may be exceeded by as many of these again. Returns
+// false if the limit is reached and no connection can be closed.
 bool EndpointPool::EnsureEndpointSlot(PooledEndpoint& endpoint) {
   if (endpoint.open_connection_count < limits_.max_connections_per_endpoint) return true;
-  if (endpoint.idle_connections.empty()) return false;
-  CloseConnection(*endpoint.idle_connections.back(), EndpointCloseReason::kEvicted);
+  const auto& idle = endpoint.idle_connections;
+  if (idle.empty()) return false;
+  const auto confirmed = std::find_if(idle.rbegin(), idle.rend(), [](const EndpointConnection* connection) {
+    return !connection->has_unconfirmed_calls();
+  });
+  if (confirmed == idle.rend() && endpoint.open_connection_count < 2 * limits_.max_connections_per_endpoint) {
+    return true;
+  }
+  CloseConnection(confirmed == idle.rend() ? *idle.back() : **confirmed, EndpointCloseReason::kEvicted);
   return true;
 }
 
