--- a/src/journal/id_log.cpp
+++ b/src/journal/id_log.cpp
@@ -87,8 +87,8 @@
     if (!opened.ok()) continue;
     id_file.bytes = opened.value->Size().value;
     const std::string content = ReadAll(*opened.value, max_bytes_).value;
-    for (std::size_t i = 0; i + kEntryBytes <= content.size(); i += kEntryBytes) {
-      const auto id = DecodeIdEntry(std::string_view(content).substr(i, kEntryBytes), salt);
+    for (std::string_view left = content; left.size() >= kEntryBytes; left.remove_prefix(kEntryBytes)) {
+      const auto id = DecodeIdEntry(left.substr(0, kEntryBytes), salt);
       if (!id) continue;
       id_file.expires_at = std::max(id_file.expires_at, id->expires_at);
       history.Restore(*id, now);
