--- a/src/app/request_log.cpp
+++ b/src/app/request_log.cpp
@@ -87,7 +87,7 @@
   server.on_connection_closed = [this](const HttpServer::ClosedConnection& closed) {
     OnConnectionClosed(closed);
   };
-  server.on_request_dropped = [this](const Exchange& exchange) { OnRequestDropped(exchange); };
+  server.on_request_dropped = [this](const Exchange& exchange) { LogRepeat(exchange, false); };
   server.on_request_rejected = [this](std::uint64_t connection_number, int status, bool is_answered) {
     OnRequestRejected(connection_number, status, is_answered);
   };
@@ -134,6 +134,7 @@
 }
 
 void RequestLog::OnResponse(const Exchange& exchange, int status, const std::string& body) {
+  if (exchange.is_repeated()) LogRepeat(exchange, true);
   const bool is_error = status >= kFirstErrorStatus;
   const LogLevel level = is_error ? LogLevel::kInfo : LogLevel::kDebug;
   if (!log_.IsEnabled(level)) return;
@@ -145,9 +146,10 @@
               {"reason", reason}});
 }
 
-void RequestLog::OnRequestDropped(const Exchange& exchange) {
-  log_.Info("request.repeated",
-            {{"id", RequestId(exchange)}, {"connection", exchange.connection_number()}, {"answered", false}});
+void RequestLog::LogRepeat(const Exchange& exchange, bool is_answered) {
+  log_.Info(
+      "request.repeated",
+      {{"id", RequestId(exchange)}, {"connection", exchange.connection_number()}, {"answered", is_answered}});
 }
 
 void RequestLog::OnRequestRejected(std::uint64_t connection_number, int status, bool is_answered) {
--- a/src/app/request_log.h
+++ b/src/app/request_log.h
@@ -41,7 +41,7 @@
 
  private:
   void OnResponse(const Exchange& exchange, int status, const std::string& body);
-  void OnRequestDropped(const Exchange& exchange);
+  void LogRepeat(const Exchange& exchange, bool is_answered);
   void OnRequestRejected(std::uint64_t connection_number, int status, bool is_answered);
   void OnConnectionClosed(const HttpServer::ClosedConnection& closed);
   void OnUnexpectedResponse(const UnexpectedResponse& response, const Message* message);
--- a/src/frontend/http_response.cpp
+++ b/src/frontend/http_response.cpp
@@ -52,6 +52,7 @@
 AdmissionCallback MakeResponder(std::shared_ptr<Exchange> exchange) {
   return [exchange = std::move(exchange)](const AdmissionResult& result) {
     if (exchange->is_closed()) return false;
+    if (result.is_repeat) exchange->MarkRepeated();
     // A client sends a request again on a new connection only.
     if (result.is_repeat && !exchange->is_first_request()) {
       exchange->Drop();
--- a/src/net/endpoint_connection.cpp
+++ b/src/net/endpoint_connection.cpp
@@ -274,7 +274,10 @@
     const bool is_repeat = tracker_.IsRepeat(response);
     unconfirmed_.OnResponse(response.kind);
     tracker_.OnResponse(response);
-    if (StartVerification(result, response, is_reusable)) return;
+    if (tracker_.state() == ResponseTracker::State::kVerifying) {
+      return StartVerification(result, response, is_reusable);
+    }
+    endpoint_.response_times.Add(response.kind, tracker_.SinceCall(response.received_at));
     const bool is_success = response.kind == ResponseKind::kSuccess && !responded_late_ && !responded_early_;
     if (is_success && is_repeat) return FinishUnconfirmed(result, is_reusable);
   }
@@ -289,21 +292,15 @@
   return response;
 }
 
-// If the response is to be verified, the call stays in flight until its own response has come, or until that
-// would have come.
-bool EndpointConnection::StartVerification(const CallResult& result,
+// The call stays in flight until its own response has come, or until that would have come.
+void EndpointConnection::StartVerification(const CallResult& result,
                                            const ResponseTracker::Response& response, bool is_reusable) {
-  if (tracker_.state() != ResponseTracker::State::kVerifying) {
-    endpoint_.response_times.Add(response.kind, tracker_.SinceCall(response.received_at));
-    return false;
-  }
   candidate_ = Candidate{result, response.fingerprint, is_reusable, response.received_at};
   candidate_->result.message_number = message_number_;
   candidate_->result.connection_number = number_;
   verification_timer_.Schedule(tracker_.VerificationTime(endpoint_.response_times, response.received_at));
   owner_.OnVerificationStarted(candidate_->result);
   ExpectAnotherResponse();
-  return true;
 }
 
 // The call's own response may still come, which would show that this one was a repeat.
--- a/src/net/endpoint_connection.h
+++ b/src/net/endpoint_connection.h
@@ -157,7 +157,7 @@
   void WriteCall();
   void ReportWritten();
   void FinishWithResponse();
-  bool StartVerification(const CallResult& result, const ResponseTracker::Response& response,
+  void StartVerification(const CallResult& result, const ResponseTracker::Response& response,
                          bool is_reusable);
   void FinishUnconfirmed(const CallResult& result, bool is_reusable);
   void OnConfirmationDue();
--- a/src/net/endpoint_pool.cpp
+++ b/src/net/endpoint_pool.cpp
@@ -130,20 +130,21 @@
   return true;
 }
 
-// At the limit of all connections, closes the one that has been idle longest, to whatever endpoint. Returns
-// false if the limit is reached and none is idle.
+// At the limit of all connections, closes the one that has been idle longest, to whatever endpoint; one whose
+// calls are unconfirmed only if there is no other. Returns false if the limit is reached and none is idle.
 bool EndpointPool::EnsureConnectionSlot() {
   if (connections_.size() < limits_.max_connections) return true;
-  EndpointConnection* longest_idle = nullptr;
+  const auto order = [](const EndpointConnection& connection) {
+    return std::pair(connection.has_unconfirmed_calls(), connection.idle_since());
+  };
+  EndpointConnection* first = nullptr;
   for (const auto& [name, endpoint] : endpoints_) {
-    if (endpoint.idle_connections.empty()) continue;
-    EndpointConnection* candidate = endpoint.idle_connections.front();
-    if (longest_idle == nullptr || candidate->idle_since() < longest_idle->idle_since()) {
-      longest_idle = candidate;
+    for (EndpointConnection* idle : endpoint.idle_connections) {
+      if (first == nullptr || order(*idle) < order(*first)) first = idle;
     }
   }
-  if (longest_idle == nullptr) return false;
-  CloseConnection(*longest_idle, EndpointCloseReason::kEvicted);
+  if (first == nullptr) return false;
+  CloseConnection(*first, EndpointCloseReason::kEvicted);
   return true;
 }
 
--- a/src/net/http_exchange.h
+++ b/src/net/http_exchange.h
@@ -41,6 +41,9 @@
   // Sends the response. Returns false and does nothing if is_closed(). Adds Content-Length and Connection to
   // `headers`.
   bool Respond(int code, const std::string& body = "", const Headers& headers = {});
+  // Marks the request as a copy of one that has its answer already, for the log.
+  void MarkRepeated() { is_repeated_ = true; }
+  bool is_repeated() const { return is_repeated_; }
   // Ends the exchange without a response, because the client has had one: the request is a copy that
   // something on its way made. A response would be taken for that to the client's next request. The
   // connection is ended between two requests, so that a client that does wait sends its request once more on
@@ -53,6 +56,7 @@
   ServerConnection* client_;
   std::uint64_t connection_number_ = 0;
   bool is_first_request_ = false;
+  bool is_repeated_ = false;
   std::string method_;
   std::string path_;
   Headers headers_;
--- a/src/pipeline/admission_controller.cpp
+++ b/src/pipeline/admission_controller.cpp
@@ -219,7 +219,6 @@
   const Time deadline = message.deadline;
   router_.OnWithdrawn(message);
   completion_handler_.Complete(message, FinalStatus::kExpired);
-  if (request.protocol != IngressProtocol::kPlatform) return;
   messages_.id_history().Add(request, SubmissionOutcome::kWithdrawn, clock_.Now(), deadline);
   journal_.SaveRememberedIds();
 }
