A success that no call asked for is provisional like a copy

Cause: a 200 was provisional only if its bytes equalled an earlier one's, and a 200 behind a rejection that was being verified counted as the call's own. Why it works: every 200 on a connection that was used in the last 3 s may be somebody else's, so it is confirmed like a copy; a 200 behind a verified rejection makes the call one that may have run.

--- a/src/net/endpoint_connection.cpp
+++ b/src/net/endpoint_connection.cpp
@@ -271,7 +271,7 @@
   ReportWritten();  // the response may be read before libevent reports that the call was written
   if (!abandoned_as_ && is_write_reported_) {
     const ResponseTracker::Response response = DescribeResponse();
-    const bool is_repeat = tracker_.IsRepeat(response);
+    const bool is_doubtful = tracker_.WasUsedShortlyBefore();
     unconfirmed_.OnResponse(response.kind);
     tracker_.OnResponse(response);
     if (tracker_.state() == ResponseTracker::State::kVerifying) {
@@ -279,7 +279,7 @@
     }
     endpoint_.response_times.Add(response.kind, tracker_.SinceCall(response.received_at));
     const bool is_success = response.kind == ResponseKind::kSuccess && !responded_late_ && !responded_early_;
-    if (is_success && is_repeat) return FinishUnconfirmed(result, is_reusable);
+    if (is_success && is_doubtful) return FinishUnconfirmed(result, is_reusable);
   }
   FinishCall(result, {.is_reusable = is_reusable, .needs_report_delay = false});
 }
@@ -392,7 +392,8 @@
     return;
   }
   CallResult result = second;
-  const bool is_ambiguous = second.outcome != candidate_->result.outcome && tracker_.IsRepeat(response);
+  const bool is_ambiguous = second.outcome != candidate_->result.outcome &&
+                            (second.outcome == Outcome::kOk || tracker_.IsRepeat(response));
   if (is_ambiguous) result.outcome = Outcome::kReset;
   FinishCall(result, {.is_reusable = false, .needs_report_delay = true});
 }
--- a/src/net/response_tracker.cpp
+++ b/src/net/response_tracker.cpp
@@ -7,9 +7,9 @@
 
 using std::chrono::milliseconds;
 
-// A response may be repeated within this time.
+// A success on a connection that has brought a response within this time may be none of the call's.
 constexpr Duration kRepeatWindow = milliseconds(3000);
-// The same for responses that are verified, which costs a slot.
+// Other responses are verified, which costs a slot, if an equal one has come within this time.
 constexpr Duration kVerifiedRepeatWindow = milliseconds(1000);
 constexpr std::size_t kMaxRecentResponses = 32;
 // The response to a call is awaited for this multiple of the longest usual time, within the bounds below.
@@ -37,13 +37,17 @@
 }
 
 bool ResponseTracker::IsRepeat(const Response& response) const {
-  const Duration window = response.kind == ResponseKind::kSuccess ? kRepeatWindow : kVerifiedRepeatWindow;
   return std::ranges::any_of(recent_responses_, [&](const Response& recent) {
     return recent.fingerprint == response.fingerprint && recent.received_at <= call_written_at_ &&
-           recent.received_at + window >= call_written_at_;
+           recent.received_at + kVerifiedRepeatWindow >= call_written_at_;
   });
 }
 
+bool ResponseTracker::WasUsedShortlyBefore() const {
+  return std::ranges::any_of(
+      recent_responses_, [this](const Response& recent) { return recent.received_at <= call_written_at_; });
+}
+
 Duration ResponseTracker::VerificationTime(const ResponseTimes& times, TimePoint now) const {
   const auto left = std::chrono::duration_cast<Duration>(UsualResponseEnd(times, now) - now);
   return std::min(left, kMaxVerificationTime);
--- a/src/net/response_tracker.h
+++ b/src/net/response_tracker.h
@@ -47,6 +47,9 @@
 
   // Whether a response with these bytes has come so shortly before the call that this one may be a repeat.
   bool IsRepeat(const Response& response) const;
+  // Whether any response has come so shortly before the call that a repeat of it, or one that no call asked
+  // for, may still be under way.
+  bool WasUsedShortlyBefore() const;
   // How long after `now` a response that is not a success is verified.
   Duration VerificationTime(const ResponseTimes& times, TimePoint now) const;
   // When the call's own response would usually have come.
--- a/tests/net/repeated_answers_test.cpp
+++ b/tests/net/repeated_answers_test.cpp
@@ -136,6 +136,34 @@
   EXPECT_EQ(connections.size(), 1U);
 }
 
+// Something on the path answers a call although nothing has asked it to, and with other bytes.
+TEST_F(RepeatedAnswers, AnUnaskedSuccessIsNoDeliveryIfTheCallIsRejected) {
+  FileDescriptor& connection = AnswerCalls(1, 1);
+  RunFor(loop, kLongRest);
+  Call(2, 900ms);
+  ASSERT_EQ(&ReceiveCall(), &connection);
+  MustSend(connection, "HTTP/1.1 200 OK\r\nX-Other: 1\r\nContent-Length: 0\r\n\r\n");
+  EXPECT_EQ(WaitForResponse(2), Outcome::kOk);
+  RunFor(loop, kServiceTime);
+  MustSend(connection, kFullResponse);
+  EXPECT_TRUE(MayHaveRun(WaitForOutcome(2)));
+}
+
+TEST_F(RepeatedAnswers, AnUnaskedSuccessBehindARejectionThatIsVerifiedIsNoDelivery) {
+  AnswerCalls(1, 1);
+  FileDescriptor* connection = nullptr;
+  for (const std::uint64_t number : {2, 3}) {
+    RunFor(loop, kLongRest);
+    Call(number, 900ms);
+    connection = &ReceiveCall();
+    MustSend(*connection, kFullResponse);
+    EXPECT_EQ(WaitForResponse(number), Outcome::kRejected);
+  }
+  EXPECT_FALSE(outcomes.contains(3));
+  MustSend(*connection, "HTTP/1.1 200 OK\r\nX-Other: 1\r\nContent-Length: 0\r\n\r\n");
+  EXPECT_TRUE(MayHaveRun(WaitForOutcome(3)));
+}
+
 // A copy of a success comes late, within the next call on its connection.
 struct LateCopyOfASuccess : RepeatedAnswers {
   static constexpr std::uint64_t kNumber = 2;  // of the message whose call gets the copy
