Test: repeated requests after a handover; a handover test that did not wait for a log line

RepeatedRequestsMakeNoSecondMessageInTheNextProcess: real processes, SIGTERM and SIGKILL; a copy gets no response on a connection that was handed over, that of its original on a new one, and is not sent. FullDiskAbortsTheHandover failed once in nine runs: it read the old process's log in the moment in which the new process had ended, and nothing orders the two. It now waits for the same line, with the usual limit.

--- a/tests/handover/upgrade_test.cpp
+++ b/tests/handover/upgrade_test.cpp
@@ -193,6 +193,39 @@
   }
 }
 
+// Requests that were delivered or rejected come again after the upgrade: on a connection that has been handed
+// over they get no response, on a new one that of their original, and none of them is sent.
+void RepeatedRequestsMakeNoSecondMessageInTheNextProcess(const std::string& program) {
+  for (const int signal : {SIGTERM, SIGKILL}) {
+    UpgradeScenario scenario(program, 4);
+    const auto message = [](const std::string& id, int destination) {
+      return "POST /pagamento HTTP/1.1\r\nHost: b\r\nX-Request-Id: " + id +
+             "\r\nX-Class: pagamento\r\nX-Deadline: 9000m\r\nX-Envelope: dest=" +
+             std::to_string(destination) + "\r\nContent-Length: 4\r\n\r\n" + id;
+    };
+    constexpr int kUnknownDestination = 99;
+    RawClient delivered(scenario.loop, scenario.serving->Port(), message("dlvd", 7));
+    RawClient rejected(scenario.loop, scenario.serving->Port(), message("rjct", kUnknownDestination));
+    RunUntil(scenario.loop, [&] { return scenario.partner.delivered.contains("dlvd"); });
+    RunUntil(scenario.loop, [&] { return rejected.received.find(" 429 ") != std::string::npos; });
+    scenario.Upgrade(signal);
+    for (RawClient* handed_over : {&delivered, &rejected}) handed_over->received.clear();
+    delivered.Write(message("dlvd", 7));
+    rejected.Write(message("rjct", 7));
+    RunUntil(scenario.loop, [&] { return delivered.closed && rejected.closed; });
+    assert(delivered.received.empty() && rejected.received.empty());
+    RawClient delivered_again(scenario.loop, scenario.serving->Port(), message("dlvd", 7));
+    RawClient rejected_again(scenario.loop, scenario.serving->Port(), message("rjct", 7));
+    RunUntil(scenario.loop,
+             [&] { return !delivered_again.received.empty() && !rejected_again.received.empty(); });
+    assert(delivered_again.received.find(" 202 ") != std::string::npos);
+    assert(rejected_again.received.find(" 429 ") != std::string::npos);
+    RunFor(scenario.loop, 300ms);
+    assert(scenario.partner.calls["dlvd"] == 1 && scenario.partner.calls["rjct"] == 0);
+    scenario.Finish(0);
+  }
+}
+
 void FailedStartsLeaveTheServingProcessUnchanged(const std::string& program) {
   UpgradeScenario scenario(program, 3);
   scenario.clients->Start(5ms);
@@ -323,7 +356,10 @@
       "", scenario.folder.path + "/full");
   RunUntil(scenario.loop, [&] { return !next.Running(); });
   assert(next.Wait() == 1 && scenario.serving->child.Running());
-  assert(ReadFile(scenario.serving->child.log()).find(" handover.aborted ") != std::string::npos);
+  // The old process hears of the end of the new one later than this test may.
+  RunUntil(scenario.loop, [&] {
+    return ReadFile(scenario.serving->child.log()).find(" handover.aborted ") != std::string::npos;
+  });
   assert(scenario.SendAdminRequest(*scenario.serving, "STATUS\n") == "done ready\n");
   const std::size_t delivered_before = scenario.partner.delivered.size();
   RunUntil(scenario.loop, [&] { return scenario.partner.delivered.size() > delivered_before + 20; });
@@ -398,6 +434,7 @@
   UpgradesUnderLoadLoseNoMessages(argv[1], std::atoi(argv[2]), std::strtoull(argv[3], nullptr, 10));
   ClientConnectionsContinueInTheNextProcess(argv[1]);
   InFlightNonIdempotentCallIsNotRepeated(argv[1]);
+  RepeatedRequestsMakeNoSecondMessageInTheNextProcess(argv[1]);
   FailedStartsLeaveTheServingProcessUnchanged(argv[1]);
   OldProcessContinuesIfNewOneDiesAfterBeginningAnEpoch(argv[1]);
   TwoNewProcessesTakeOverInTurn(argv[1]);
@@ -406,5 +443,5 @@
   FullDiskAbortsTheHandover(argv[1]);
   Format1JournalIsMigratedAndHandedOver(argv[1]);
   NewProcessGetsTheJournalIfOldOneIsKilled(argv[1]);
-  std::puts("11 passed, 0 failed");
+  std::puts("12 passed, 0 failed");
 }
