--- a/review/run_case.sh
+++ b/review/run_case.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
-# run_case.sh FOLDER: runs the case of that folder. Exits with 1 if the rule was broken, 0 if it held, 2 if the case
-# couldn't run. TROUBLE=0 leaves the disruption out. Called by the run.sh of each case.
+# run_case.sh FOLDER TROUBLE: runs the case of that folder. Exits with 1 if the rule was broken, 0 if it held, 2 if the case
+# couldn't run. With TROUBLE 0 the disruption is left out. Called by the run.sh of each case.
 set -eu
 folder=$(cd "$1" && pwd)
 root=$(cd "$folder/../.." && pwd)
@@ -15,7 +15,7 @@
 run_line=$(sed -n 's/^run = "\(.*\)"$/\1/p' "$root/deploy/balancer.toml")
 status=0
 # The driver starts the dispatchers by the line `run`, and they end with it.
-ROOT=$root RUN_LINE=$run_line WORK=$work RECORD=$folder/record.txt TROUBLE=${TROUBLE:-1} \
+ROOT=$root RUN_LINE=$run_line WORK=$work RECORD=$folder/record.txt TROUBLE=$2 \
   timeout -k 2 115 "$driver" || status=$?
 case $status in
   0 | 1) exit "$status" ;;
--- a/review/standins/http.h
+++ b/review/standins/http.h
@@ -4,6 +4,7 @@
 #define SAGETALLY_REVIEW_STANDINS_HTTP_H_
 
 #include <arpa/inet.h>
+#include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
@@ -19,6 +20,7 @@
 #include <cstring>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <thread>
 
@@ -62,11 +64,14 @@
   return fd;
 }
 
-// Returns a port that is free now.
+// Returns a port that is free now, another one with each call.
 inline int FreePort() {
+  static std::set<int> given;
   int port = 0;
-  const int fd = Bind(0, port);
-  if (fd >= 0) ::close(fd);
+  do {
+    const int fd = Bind(0, port);
+    if (fd >= 0) ::close(fd);
+  } while (!given.insert(port).second);
   return port;
 }
 
@@ -224,13 +229,23 @@
   int port_ = 0;
 };
 
-// Returns -1 if no connection could be made.
+// Returns -1 if no connection could be made within a second.
 inline int Connect(int port) {
-  const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  static constexpr int kTimeoutMs = 1000;
+  const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
   const sockaddr_in address = Loopback(port);
-  if (::connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0) return fd;
-  ::close(fd);
-  return -1;
+  if (::connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0) {
+    pollfd writable{fd, POLLOUT, 0};
+    int error = 0;
+    socklen_t size = sizeof error;
+    if (errno != EINPROGRESS || ::poll(&writable, 1, kTimeoutMs) != 1 ||
+        ::getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size) != 0 || error != 0) {
+      ::close(fd);
+      return -1;
+    }
+  }
+  ::fcntl(fd, F_SETFL, ::fcntl(fd, F_GETFL) & ~O_NONBLOCK);
+  return fd;
 }
 
 }  // namespace review
