A notice that its receiver never accepts no longer holds up all others

Cause: NotificationClient handled every response but 2xx like a lost connection, and posted the batch of the 200 lowest message numbers again after 50 ms. One notice that is never accepted kept its 199 companions and all later ones back.

The log had only `notifications.rejected status=400` without an id, so which notice was at fault could not be told from it.

Change: NotificationQueue decides what is posted. A batch that is rejected (4xx but for 408, 425, 429) is halved at once until the notice at fault is alone; that one is posted alone, in turn with the others, after 50 ms doubling to 60 s. Where a response doesn't say whose fault it is (5xx, no response), a notice becomes a suspect only if the receiver acknowledged others between two of its failures, so an outage makes no suspects. `notifications.rejected` now names id, status, failures and delay; metric balancer.rejected_notices. NotificationClient::CancelNotification had no caller and is gone.

--- a/src/admin/metrics.cpp
+++ b/src/admin/metrics.cpp
@@ -15,6 +15,7 @@
 constexpr const char* kVerifiedResponsesName = "verified_answers";
 constexpr const char* kUnexpectedResponsesName = "unexpected_answers";
 constexpr const char* kRevokedDeliveriesName = "revoked_deliveries";
+constexpr const char* kRejectedNotificationsName = "rejected_notices";
 constexpr const char* kInProgressName = "in_progress";
 constexpr const char* kKnownEndpointsName = "known_endpoints";
 constexpr const char* kAvoidedEndpointsName = "skipped_endpoints";
@@ -83,6 +84,7 @@
   if (verified_responses_ > 0) AppendCounter(text, kVerifiedResponsesName, verified_responses_);
   if (unexpected_responses_ > 0) AppendCounter(text, kUnexpectedResponsesName, unexpected_responses_);
   if (revoked_deliveries_ > 0) AppendCounter(text, kRevokedDeliveriesName, revoked_deliveries_);
+  if (rejected_notifications_ > 0) AppendCounter(text, kRejectedNotificationsName, rejected_notifications_);
   return text;
 }
 
--- a/src/admin/metrics.h
+++ b/src/admin/metrics.h
@@ -43,10 +43,12 @@
   void RecordRevokedDelivery() { ++revoked_deliveries_; }
   // Counts a response that came on an endpoint's connection without a call that asked for it.
   void RecordUnexpectedResponse() { ++unexpected_responses_; }
+  // Counts a batch of notifications whose content its receiver rejected.
+  void RecordRejectedNotifications() { ++rejected_notifications_; }
 
-  // Returns the counters and gauges, and of verified and unexpected responses and revoked deliveries those
-  // above 0, in the statsd line format, for example "balancer.passed.aviso:812|c" and
-  // "balancer.in_progress:14|g".
+  // Returns the counters and gauges, and of verified and unexpected responses, revoked deliveries and
+  // rejected notifications those above 0, in the statsd line format, for example
+  // "balancer.passed.aviso:812|c" and "balancer.in_progress:14|g".
   std::string FormatStatsd(const GaugeValues& gauges) const;
 
  private:
@@ -65,6 +67,7 @@
   std::uint64_t verified_responses_ = 0;
   std::uint64_t unexpected_responses_ = 0;
   std::uint64_t revoked_deliveries_ = 0;
+  std::uint64_t rejected_notifications_ = 0;
 };
 
 }  // namespace sagetally
--- a/src/app/dispatcher.cpp
+++ b/src/app/dispatcher.cpp
@@ -62,6 +62,8 @@
   endpoint_pool_.on_call_written = [this] { metrics_.RecordCallWritten(); };
   endpoint_pool_.on_provisional_result = [this](const CallResult& result) { OnProvisionalResult(result); };
   request_log_.Observe(endpoint_pool_, messages_, [this] { metrics_.RecordUnexpectedResponse(); });
+  platform_notifications_.on_rejected = [this] { metrics_.RecordRejectedNotifications(); };
+  if (result_events_) result_events_->on_rejected = platform_notifications_.on_rejected;
   readiness_.can_record = [this] { return journal_.journal().is_writable(); };
   pipeline_.admission_controller.is_accepting = [this] { return readiness_.IsAccepting(clock_.Now()); };
 }
--- a/src/net/notification_client.h
+++ b/src/net/notification_client.h
@@ -5,7 +5,6 @@
 
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <string>
 #include <vector>
 
@@ -13,11 +12,12 @@
 #include "core/ports.h"
 #include "logging/logger.h"
 #include "net/event_loop.h"
+#include "net/notification_queue.h"
 
 namespace sagetally {
 
-// Posts notifications in batches, one batch at a time. A batch that is not acknowledged (by a 2xx response)
-// is posted again. Used on the event loop's thread.
+// Posts notifications in batches, one batch at a time, until each is acknowledged (by a 2xx response to its
+// batch). NotificationQueue says what is posted when. Used on the event loop's thread.
 class NotificationClient : public Notifier {
  public:
   // The HTTP form of a batch.
@@ -42,19 +42,24 @@
 
   // Queues a notification of the message's final status.
   void Notify(const Message& message) override;
-  // Drops the notification of the message with this number, if it is pending.
-  void CancelNotification(std::uint64_t number) { pending_.erase(number); }
   // Returns whether all notifications were acknowledged.
-  bool is_idle() const { return pending_.empty(); }
+  bool is_idle() const { return queue_.empty(); }
   // Posts the notifications that are still pending, and all later ones, to another address.
   void ChangeAddress(const Address& address);
   // Drops the pending notifications, which another process posts instead.
   void Shutdown();
 
+  // Called when the receiver has rejected the content of a batch. May be empty.
+  std::function<void()> on_rejected;
+
  private:
+  void SchedulePost();
   void PostBatch();
-  std::string TakeBatch();
+  std::string EncodeBatch(const std::vector<std::string>& notifications) const;
   void OnBatchFailed(const char* reason);
+  void OnBatchRejected(int status);
+  // Takes the batch in flight as failed. Logs its notification if that failed alone and is at fault.
+  void FailBatch(NotificationQueue::Failure failure, int status);
   static void OnResponse(evhttp_request* request, void* self);
   void OnStatus(int status);
 
@@ -63,9 +68,8 @@
   const Encoding encoding_;
   std::function<void(std::uint64_t)> on_acknowledged_;
   Logger& log_;
-  std::map<std::uint64_t, std::string> pending_;  // encoded notifications by message number
-  std::vector<std::uint64_t> in_flight_;          // the message numbers of the batch that is being posted
-  bool is_failing_ = false;                       // the last batch failed
+  NotificationQueue queue_;
+  bool is_failing_ = false;  // the last batch had no response that acknowledges or rejects it
   ConnectionPtr connection_;
   Timer post_timer_;
   Timer response_timer_;
--- a/tests/admin/readiness_test.cpp
+++ b/tests/admin/readiness_test.cpp
@@ -149,6 +149,8 @@
   metrics.RecordUnexpectedResponse();
   assert(
       metrics.FormatStatsd({}).ends_with("balancer.verified_answers:2|c\nbalancer.unexpected_answers:1|c\n"));
+  metrics.RecordRejectedNotifications();
+  assert(metrics.FormatStatsd({}).ends_with("balancer.rejected_notices:1|c\n"));
 }
 
 }  // namespace
