Notices, result events and reports are UTF-8 whatever bytes an id has

Cause: json::Quote escaped quotes, backslashes and control characters and copied all other bytes, so the line was no JSON (RFC 8259, 8.1).

Result: Utf8.QuotedTextIsJsonWhateverItsBytes failed and app_restart did not end within 60 s with the old Quote; both pass now. app_restart reads a log of the older form with 300 such records, and one of events with ce-id %BA.

--- a/src/cli/journal_commands.cpp
+++ b/src/cli/journal_commands.cpp
@@ -4,6 +4,7 @@
 #include <stdexcept>
 #include <string>
 
+#include "base/utf8.h"
 #include "cli/table.h"
 #include "journal/file_system/posix_file_system.h"
 #include "journal/snapshot.h"
@@ -152,7 +153,7 @@
 }
 
 void AddRow(Table& table, std::uint64_t number, const Message& message, const std::string& class_name) {
-  table.Add({std::to_string(number), message.request.id, class_name,
+  table.Add({std::to_string(number), ReplaceInvalidUtf8(message.request.id), class_name,
              std::to_string(message.request.destination), FinalStatusName(message),
              std::to_string(message.attempts), message.first_uncertain_attempt ? "yes" : "no",
              FormatTime(message.deadline.count())});
--- a/src/config/json.cpp
+++ b/src/config/json.cpp
@@ -1,5 +1,7 @@
 #include "config/json.h"
 
+#include "base/utf8.h"
+
 namespace sagetally::json {
 namespace {
 
@@ -103,7 +105,7 @@
 std::string Quote(std::string_view text) {
   static constexpr char kHexDigits[] = "0123456789abcdef";
   std::string quoted = "\"";
-  for (const char c : text) {
+  for (const char c : ReplaceInvalidUtf8(text)) {
     const auto byte = static_cast<unsigned char>(c);
     if (c == '"' || c == '\\') {
       quoted += {'\\', c};
--- a/src/config/json.h
+++ b/src/config/json.h
@@ -107,7 +107,8 @@
   for (const Value item : List(object, name)) use(item);
 }
 
-// Returns `text` as a JSON string, in quotes and with escapes. `text` must be UTF-8.
+// Returns `text` as a JSON string, in quotes and with escapes. The result is valid JSON whatever bytes `text`
+// has: those that are not UTF-8 are replaced as by ReplaceInvalidUtf8().
 std::string Quote(std::string_view text);
 
 }  // namespace sagetally::json
--- a/tests/app/restart_test.cpp
+++ b/tests/app/restart_test.cpp
@@ -1,6 +1,11 @@
 // Tests of restarts after a kill. Messages without an attempt must be sent. Messages whose attempt may have
 // run must be retried only if their class allows it. A second kill right after the restart must not change
 // that.
+#include <fstream>
+
+#include "../journal/format1_log.h"
+#include "base/utf8.h"
+#include "config/json.h"
 #include "world.h"
 
 namespace sagetally {
@@ -100,6 +105,46 @@
   assert(segments.size() > 10 && world.dispatcher->client_connections() <= 64 / 3 - 4);
 }
 
+// Guards against review/1 after a restart: an older version has recorded ids that are not UTF-8, and the
+// notices of their messages must be JSON that the platform can read.
+void NoticesOfOldRecordsAreUtf8() {
+  World world;
+  world.Start();
+  world.Kill();
+  std::filesystem::remove_all(world.folder.path + "/journal");
+  Format1Origin origin;
+  origin.id_prefix = "pedido-n\xba-";
+  std::ofstream(world.folder.path + "/log", std::ios::binary)
+      << MakeFormat1Log(300, false, Time(99), 2, origin);
+  world.Start();
+  RunUntil(world.loop, [&] { return world.agent.HasNotice("\"pedido-n\xef\xbf\xbd-300\""); });
+  assert(world.agent.malformed == 0 && IsUtf8(world.agent.notices) && world.CountCalls() == 0);
+}
+
+// Guards against the same fault in result events. An attribute may have got such bytes by percent-encoding.
+void ResultEventsOfOldRecordsAreUtf8() {
+  World world;
+  std::string received;
+  world.sink =
+      std::make_unique<HttpServer>(world.loop, Address{"127.0.0.1", 0}, HttpServer::Limits{1 << 20, 200},
+                                   [&](const std::shared_ptr<Exchange>& exchange) {
+                                     received = exchange->body();
+                                     exchange->Respond(204);
+                                   });
+  world.Start();
+  world.Kill();
+  std::filesystem::remove_all(world.folder.path + "/journal");
+  const Format1Origin origin{
+      "/shop|%BA", IngressProtocol::kCloudEvents, {{"ce-id", "%BA\xba"}, {"ce-source", "/shop"}}};
+  std::ofstream(world.folder.path + "/log", std::ios::binary)
+      << MakeFormat1Log(3, false, Time(99), 2, origin);
+  world.Start();
+  RunUntil(world.loop, [&] { return !received.empty(); });
+  simdjson::dom::parser parser;
+  assert(json::Parse(parser, received).is_array() && IsUtf8(received));
+  assert(received.find("\"id\":\"\xef\xbf\xbd\xef\xbf\xbd\"") != std::string::npos);
+}
+
 }  // namespace
 }  // namespace sagetally
 
@@ -108,5 +153,7 @@
   UnattemptedMessagesAreSentAfterRestart();
   DeduplicationWindowContinuesOverRestart();
   IdleClientsLeaveDescriptorsForDiscoveryCallsAndJournal();
-  std::puts("3 passed, 0 failed");
+  NoticesOfOldRecordsAreUtf8();
+  ResultEventsOfOldRecordsAreUtf8();
+  std::puts("5 passed, 0 failed");
 }
--- a/tests/journal/format1_log.h
+++ b/tests/journal/format1_log.h
@@ -12,10 +12,19 @@
 
 namespace sagetally {
 
-// Returns the content of a log with `messages` pending messages. Their ids are "old1", "old2" and so on,
-// their bodies "aold1", "aold2" and so on, and all have the idempotency key "key" and destination 7. The last
-// record is an attempt of the first message, which has no outcome. With `torn`, its last 5 bytes are missing.
-inline std::string MakeFormat1Log(int messages, bool torn, Time deadline = Time(99), int message_class = 2) {
+// How the messages of a log came in.
+struct Format1Origin {
+  std::string id_prefix = "old";
+  IngressProtocol protocol = IngressProtocol::kPlatform;
+  CloudEventAttributes attributes = {};
+};
+
+// Returns the content of a log with `messages` pending messages. Their ids are "old1", "old2" and so on (with
+// the prefix of `origin`), their bodies "aold1", "aold2" and so on, and all have the idempotency key "key"
+// and destination 7. The last record is an attempt of the first message, which has no outcome. With `torn`,
+// its last 5 bytes are missing.
+inline std::string MakeFormat1Log(int messages, bool torn, Time deadline = Time(99), int message_class = 2,
+                                  const Format1Origin& origin = Format1Origin()) {
   std::string log;
   const auto append_record = [&](const std::string& record) {
     const auto crc =
@@ -27,7 +36,7 @@
     log += record;
   };
   for (std::uint64_t number = 1; number <= static_cast<std::uint64_t>(messages); ++number) {
-    const std::string id = "old" + std::to_string(number);
+    const std::string id = origin.id_prefix + std::to_string(number);
     ByteWriter state;
     state.AppendNumber('S')
         .AppendNumber(number)
@@ -37,8 +46,9 @@
     state.AppendTime(deadline)
         .AppendString("key")
         .AppendString("a" + id)
-        .AppendNumber(IngressProtocol::kPlatform)
-        .AppendNumber<std::uint32_t>(0);
+        .AppendNumber(origin.protocol)
+        .AppendNumber(static_cast<std::uint32_t>(origin.attributes.size()));
+    for (const auto& [name, value] : origin.attributes) state.AppendString(name).AppendString(value);
     state.AppendNumber<std::int32_t>(0)
         .AppendNumber(false)
         .AppendTime(Time(0))
