Ids, keys and attributes that are not UTF-8 are refused with 400 at every front

Cause: RequestValidator checked the length of ids and keys only, and the binary mode of CloudEvents decodes %BA, or takes the raw byte, into an attribute that is no Unicode string.

Change: RequestValidator refuses an id or idempotency key that is not UTF-8, and ParseCloudEvents such an attribute, each with an error that names it; a forwarder relays the planner's. Bodies may have any bytes as before.

--- a/src/frontend/cloudevents/cloud_event.cpp
+++ b/src/frontend/cloudevents/cloud_event.cpp
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string_view>
 
+#include "base/utf8.h"
 #include "config/json.h"
 #include "frontend/cloudevents/attribute_names.h"
 
@@ -41,6 +42,13 @@
   });
 }
 
+// Attributes are Unicode strings, but headers may contain any bytes.
+void CheckEncoding(const CloudEvent& event) {
+  for (const auto& [name, value] : event.attributes) {
+    if (!IsUtf8(value)) throw FormatError("attribute '" + name + "' is not UTF-8", {name, "UTF-8", ""});
+  }
+}
+
 void CheckRequiredAttributes(const CloudEvent& event) {
   using namespace cloudevents;
   for (const char* name : {kSpecVersion, kId, kSource, kType}) {
@@ -106,6 +114,7 @@
   if (event.attributes.empty()) Malformed("no event: neither ce- headers nor a cloudevents content type");
   if (!content_type.empty()) event.attributes[cloudevents::kDataContentType] = content_type;
   event.data = body;
+  CheckEncoding(event);
   CheckRequiredAttributes(event);
   return event;
 }
--- a/src/pipeline/request_validator.cpp
+++ b/src/pipeline/request_validator.cpp
@@ -6,6 +6,8 @@
 #include <string>
 #include <utility>
 
+#include "base/utf8.h"
+
 namespace sagetally {
 namespace {
 
@@ -22,6 +24,8 @@
   switch (error) {
     case RequestError::kIdLength:
       return "the id must have 1 to 512 bytes";
+    case RequestError::kIdEncoding:
+      return "the id must be UTF-8";
     case RequestError::kUnknownClass:
       return "unknown class";
     case RequestError::kDestinationRange:
@@ -32,6 +36,8 @@
       return "the body is longer than 64 KiB";
     case RequestError::kIdempotencyKeyLength:
       return "the idempotency key is longer than 512 bytes";
+    case RequestError::kIdempotencyKeyEncoding:
+      return "the idempotency key must be UTF-8";
   }
   return "invalid request";
 }
@@ -64,9 +70,11 @@
   admission_.Accept(std::move(submission.requests), std::move(submission.awaited), std::move(respond));
 }
 
+// Ids and keys must be UTF-8, because notifications, logs and operators' reports pass them on as JSON.
 std::optional<RequestError> RequestValidator::FindError(const Request& request) const {
   const int class_count = static_cast<int>(site_.classes.size());
   if (request.id.empty() || request.id.size() > kMaxIdOrKeyBytes) return RequestError::kIdLength;
+  if (!IsUtf8(request.id)) return RequestError::kIdEncoding;
   if (request.message_class < 0 || request.message_class >= class_count) return RequestError::kUnknownClass;
   if (request.destination < 0 || request.destination > kMaxDestination) {
     return RequestError::kDestinationRange;
@@ -74,6 +82,7 @@
   if (request.time_left <= Duration(0)) return RequestError::kDeadline;
   if (request.body.size() > kMaxBodyBytes) return RequestError::kBodyLength;
   if (request.idempotency_key.size() > kMaxIdOrKeyBytes) return RequestError::kIdempotencyKeyLength;
+  if (!IsUtf8(request.idempotency_key)) return RequestError::kIdempotencyKeyEncoding;
   return std::nullopt;
 }
 
--- a/src/pipeline/request_validator.h
+++ b/src/pipeline/request_validator.h
@@ -24,11 +24,13 @@
 // Why a request is invalid.
 enum class RequestError {
   kIdLength,
+  kIdEncoding,
   kUnknownClass,
   kDestinationRange,
   kDeadline,
   kBodyLength,
-  kIdempotencyKeyLength
+  kIdempotencyKeyLength,
+  kIdempotencyKeyEncoding
 };
 
 // Returns the error message that is sent to the client.
--- a/tests/app/clients_test.cpp
+++ b/tests/app/clients_test.cpp
@@ -24,6 +24,26 @@
          "\r\nX-Class: aviso\r\nX-Deadline: 900m\r\nX-Envelope: dest=7\r\n" + rest;
 }
 
+// Guards against review/1: a message whose id is not UTF-8 was taken on, and its notice was no JSON.
+void IdsAndKeysThatAreNotUtf8AreRejected() {
+  World world;
+  world.Start();
+  const std::string requests[] = {
+      SubmissionRequest("pedido-n\xba-0077", "Content-Length: 0\r\n\r\n"),
+      SubmissionRequest("\xed\xa0\x80", "Content-Length: 0\r\n\r\n"),
+      SubmissionRequest("a", "Idempotency-Key: n\xba\r\nContent-Length: 0\r\n\r\n")};
+  for (const std::string& request : requests) {
+    RawClient client(world.loop, world.dispatcher->port(), request);
+    RunUntil(world.loop, [&] { return client.received.find("UTF-8") != std::string::npos; });
+    assert(client.received.starts_with("HTTP/1.1 400 "));
+  }
+  const std::string utf8 = "n\xc2\xba-\xe2\x82\xac";
+  RawClient client(world.loop, world.dispatcher->port(),
+                   SubmissionRequest(utf8, "Content-Length: 0\r\n\r\n"));
+  RunUntil(world.loop, [&] { return world.CountCallsOf(utf8) == 1; });
+  assert(client.received.starts_with("HTTP/1.1 202 ") && world.CountCalls() == 1);
+}
+
 // Guards against request smuggling. Two HTTP implementations may disagree on where a malformed request ends,
 // so a request that follows it on the connection must not be accepted.
 void MalformedRequestIsRejectedWithARequestHiddenBehindIt() {
@@ -227,6 +247,7 @@
 
 int main() {
   using namespace sagetally;
+  IdsAndKeysThatAreNotUtf8AreRejected();
   MalformedRequestIsRejectedWithARequestHiddenBehindIt();
   IncompleteAndIdleConnectionsAreClosedInTime();
   UnusedAndIdleConnectionsAreClosedForClientsWithRequests();
@@ -234,5 +255,5 @@
   ConnectionBurstIsShedAtAnySocketLimit();
   PipelinedRequestsAreAnsweredInOrder();
   RepeatedRequestIsDeliveredOnce();
-  std::puts("7 passed, 0 failed");
+  std::puts("8 passed, 0 failed");
 }
--- a/tests/app/cloudevents_test.cpp
+++ b/tests/app/cloudevents_test.cpp
@@ -80,6 +80,19 @@
   }
 }
 
+// Guards against review/1 in the second front: percent-encoded or raw bytes in an attribute are no text
+// either, and its result event was no JSON.
+void RejectsAttributesThatAreNotUtf8() {
+  World world;
+  world.Start();
+  for (const char* const id : {"n%BA", "n\xba", "%ED%A0%80"}) {
+    ClientRequest& request = world.PostEvent(BinaryModeHeaders(id, "aviso"), "x");
+    assert(world.AwaitStatus(request) == 400 && request.body == "attribute 'id' is not UTF-8\n");
+  }
+  assert(world.AwaitStatus(world.PostEvent(BinaryModeHeaders("n%C2%BA", "aviso"), "\xba")) == 202);
+  RunUntil(world.loop, [&] { return world.CountCalls() == 1; });
+}
+
 void DeliversBinaryEventAsBinary() {
   World world;
   world.Start();
@@ -251,6 +264,7 @@
   PercentEncodesHeaderValues();
   ParsesBinaryStructuredAndBatchMode();
   RejectsMalformedEventsWithReason();
+  RejectsAttributesThatAreNotUtf8();
   DeliversBinaryEventAsBinary();
   DuplicateEventIsDeliveredOnce();
   OldestRetainedEventsAreDroppedForNewMessages();
@@ -258,5 +272,5 @@
   BatchIsAcceptedWholeOrNotAtAll();
   SinkIsNotifiedOfFailuresUntilItAcknowledges();
   BothProtocolsGiveTheSameOutcomes();
-  std::puts("10 passed, 0 failed");
+  std::puts("11 passed, 0 failed");
 }
--- a/tests/app/roles_test.cpp
+++ b/tests/app/roles_test.cpp
@@ -162,6 +162,22 @@
   assert(nodes.world.CountCalls() == 13);
 }
 
+// Guards against review/1 behind a forwarder: the planner's answer tells the client what is wrong.
+void ForwarderRejectsIdsThatAreNotUtf8() {
+  ForwarderAndPlanners nodes(1);
+  ClientRequest& message = nodes.PostMessage("n\xba", 1);
+  assert(nodes.world.AwaitStatus(message) == 400 && message.body == "attribute 'id' is not UTF-8\n");
+  ClientRequest& event = nodes.PostEvents({{"ce-specversion", "1.0"},
+                                           {"ce-id", "n%BA"},
+                                           {"ce-source", "/s"},
+                                           {"ce-type", "t"},
+                                           {"ce-destination", "1"},
+                                           {"ce-messageclass", "aviso"}},
+                                          "x");
+  assert(nodes.world.AwaitStatus(event) == 400 && event.body == "attribute 'id' is not UTF-8\n");
+  assert(nodes.world.CountCalls() == 0);
+}
+
 void PlannerShutdownMovesItsDestinationsAndRegistryOutageKeepsTheList() {
   ForwarderAndPlanners nodes(2);
   nodes.registry->rejects_next_renewal =
@@ -217,7 +233,8 @@
   DestinationKeepsItsPlannerWhileThePlannerIsUp();
   ParsesPartnersFromMetadata();
   ForwarderAndPlannersDeliverToPartners();
+  ForwarderRejectsIdsThatAreNotUtf8();
   PlannerShutdownMovesItsDestinationsAndRegistryOutageKeepsTheList();
   UnreachablePlannerGives503OnlyIfNothingWasWritten();
-  std::puts("6 passed, 0 failed");
+  std::puts("7 passed, 0 failed");
 }
