An event whose notification is never acknowledged no longer keeps later ones from being removed

Cause: ExpireRetained and RemoveOldestRetained looked at the oldest retained message only and gave up if that one had to be kept.

Change: the oldest that need not be kept is removed.

--- a/src/core/message_table.cpp
+++ b/src/core/message_table.cpp
@@ -97,25 +97,39 @@
 }
 
 void MessageTable::ExpireRetained(Time now) {
-  while (!retained_.empty() && (retained_.front().completed_at + kDeduplicationWindow < now ||
-                                retained_.size() > kMaxRetainedMessages)) {
-    if (!RemoveOldestRetained()) return;
+  const auto is_expired = [now](const RetainedMessage& retained) {
+    return retained.completed_at + kDeduplicationWindow < now;
+  };
+  if (retained_.empty() || (!is_expired(retained_.front()) && retained_.size() <= kMaxRetainedMessages))
+    return;
+  for (auto oldest = FindOldestRemovable(); oldest != retained_.end(); oldest = FindOldestRemovable()) {
+    const auto position_from_newest = static_cast<std::size_t>(retained_.end() - oldest);
+    if (!is_expired(*oldest) && position_from_newest <= kMaxRetainedMessages) return;
+    RemoveRetained(oldest);
   }
 }
 
 bool MessageTable::RemoveOldestRetained() {
-  if (retained_.empty()) return false;
-  const std::uint64_t number = retained_.front().number;
-  const Message* message = Find(number);
-  if (message != nullptr &&
-      (message->notification_pending || message->is_in_flight || !message->is_response_sent)) {
-    return false;
-  }
-  retained_.pop_front();
-  if (message != nullptr) Remove(number);
+  const auto oldest = FindOldestRemovable();
+  if (oldest == retained_.end()) return false;
+  RemoveRetained(oldest);
   return true;
 }
 
+std::deque<MessageTable::RetainedMessage>::iterator MessageTable::FindOldestRemovable() {
+  return std::ranges::find_if(retained_, [this](const RetainedMessage& retained) {
+    const Message* message = Find(retained.number);
+    return message == nullptr ||
+           (!message->notification_pending && !message->is_in_flight && message->is_response_sent);
+  });
+}
+
+void MessageTable::RemoveRetained(std::deque<RetainedMessage>::iterator retained) {
+  const std::uint64_t number = retained->number;
+  retained_.erase(retained);
+  Remove(number);
+}
+
 void MessageTable::Retain(const Message& message) {
   retained_.push_back({message.completed_at, message.number});
 }
--- a/src/core/message_table.h
+++ b/src/core/message_table.h
@@ -65,11 +65,12 @@
   void RemoveIfFinished(Message& message);
   // Removes a message in any state. Does nothing if there is no message with this number.
   void Remove(std::uint64_t number);
-  // Removes messages that have been retained longer than kDeduplicationWindow, and the oldest ones beyond
-  // kMaxRetainedMessages.
+  // Removes messages that have been retained longer than kDeduplicationWindow, and those beyond the newest
+  // kMaxRetainedMessages. Keeps messages that have a call in flight or whose client still has to get the
+  // response or the notification.
   void ExpireRetained(Time now);
-  // Removes the message that has been retained longest. Returns false if no message is retained, or if that
-  // message has a call in flight or its client still has to get the response or the notification.
+  // Of the retained messages that need not be kept in that way, removes the oldest. Returns false if there is
+  // none.
   bool RemoveOldestRetained();
 
   // Called before a message is removed. May be empty.
@@ -83,6 +84,9 @@
   };
 
   void Retain(const Message& message);
+  // Returns the end if every retained message must be kept.
+  std::deque<RetainedMessage>::iterator FindOldestRemovable();
+  void RemoveRetained(std::deque<RetainedMessage>::iterator retained);
 
   std::map<std::uint64_t, Message> messages_;
   std::unordered_map<std::string, std::uint64_t> numbers_by_key_;  // by MakeDeduplicationKey()
