An entry of discovery's list that can't be read no longer holds up the others

What callers would see: while one entry of a list has a wrong type, an unknown state or a byte that is no UTF-8, no change of any other endpoint is heard (drains included), and the watch is asked for again every 200 ms.

Cause: EndpointListWatcher took the whole list for unreadable and asked for it again after the revision it knew, and the same entry came again.

Change: ReadReadableEndpoints leaves out the entries that can't be read, `discovery.entry_skipped` says why, and the others count. An endpoint whose entry can't be read is not used: a delta has it as removed where name and destination can be read. A list of which no entry can be read is refused as before. The configuration's `known` is read as strictly as before.

--- a/src/base/utf8.cpp
+++ b/src/base/utf8.cpp
@@ -29,7 +29,6 @@
 }
 
 std::string ReplaceInvalidUtf8(std::string_view text) {
-  static constexpr std::string_view kReplacementCharacter = "\xef\xbf\xbd";
   std::string valid;
   valid.reserve(text.size());
   while (!text.empty()) {
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -7,6 +7,7 @@
 #include <fstream>
 #include <sstream>
 
+#include "base/utf8.h"
 #include "config/parse_number.h"
 
 namespace sagetally {
@@ -43,10 +44,19 @@
                     {"state", "one of in_service, terminating, terminated", word});
 }
 
+// Two names that differ only in bytes that were replaced can't be told apart.
+std::string ReadEndpointName(Value target) {
+  auto name = Get<std::string>(target, "uid");
+  if (name.find(kReplacementCharacter) != std::string::npos) {
+    throw FormatError("'uid' is not UTF-8", {"uid", "UTF-8", name});
+  }
+  return name;
+}
+
 EndpointUpdate ReadEndpoint(Value target, const SiteSettings& site) {
   EndpointUpdate update;
   EndpointRecord& record = update.record;
-  record.endpoint = Get<std::string>(target, "uid");
+  record.endpoint = ReadEndpointName(target);
   update.address = Get<std::string>(target, "endpoint");
   ParseAddress(update.address, "endpoint");
   record.destination = Get<int>(target, "pod_group");
@@ -57,6 +67,36 @@
   return update;
 }
 
+// Returns the removal of the endpoint whose entry is `target`, or nothing if the entry does not say which it
+// is.
+std::optional<EndpointUpdate> ReadRemoval(Value target) {
+  try {
+    EndpointUpdate removal;
+    removal.record.endpoint = ReadEndpointName(target);
+    removal.record.destination = Get<int>(target, "pod_group");
+    removal.record.state = EndpointRecord::State::kRemoved;
+    return removal;
+  } catch (const FormatError&) {
+    return std::nullopt;
+  }
+}
+
+// Reads a list. Calls `on_unreadable(target, error, update)` for each entry that can't be read.
+template <typename OnUnreadable>
+EndpointListUpdate ReadEntries(Value list, const SiteSettings& site, OnUnreadable on_unreadable) {
+  EndpointListUpdate update;
+  update.revision = Get<std::int64_t>(list, "rev");
+  update.is_full_snapshot = Get<bool>(list, "all", false);
+  for (const Value target : json::List(list, "targets")) {
+    try {
+      update.endpoints.push_back(ReadEndpoint(target, site));
+    } catch (const FormatError& error) {
+      on_unreadable(target, error, update);
+    }
+  }
+  return update;
+}
+
 // Reads one configuration. If several fields are wrong, the error names the one that is read first, so the
 // order of the calls in Read() is observable.
 class ConfigReader {
@@ -176,12 +216,22 @@
 }
 
 EndpointListUpdate ReadEndpointList(Value list, const SiteSettings& site) {
-  EndpointListUpdate update;
-  update.revision = Get<std::int64_t>(list, "rev");
-  update.is_full_snapshot = Get<bool>(list, "all", false);
-  for (const Value target : json::List(list, "targets")) {
-    update.endpoints.push_back(ReadEndpoint(target, site));
-  }
+  return ReadEntries(list, site,
+                     [](Value, const FormatError& error, EndpointListUpdate&) { throw FormatError(error); });
+}
+
+EndpointListUpdate ReadReadableEndpoints(Value list, const SiteSettings& site,
+                                         std::vector<std::string>& problems) {
+  std::optional<FormatError> first_error;
+  const EndpointListUpdate update =
+      ReadEntries(list, site, [&](Value target, const FormatError& error, EndpointListUpdate& incomplete) {
+        if (!first_error) first_error = error;
+        problems.emplace_back(error.what());
+        const std::optional<EndpointUpdate> removal = ReadRemoval(target);
+        if (removal && !incomplete.is_full_snapshot) incomplete.endpoints.push_back(*removal);
+      });
+  const auto is_readable = [](const EndpointUpdate& endpoint) { return !endpoint.address.empty(); };
+  if (first_error && std::ranges::none_of(update.endpoints, is_readable)) throw FormatError(*first_error);
   return update;
 }
 
--- a/src/net/endpoint_list_watcher.cpp
+++ b/src/net/endpoint_list_watcher.cpp
@@ -8,6 +8,7 @@
 #include <optional>
 #include <utility>
 
+#include "base/utf8.h"
 #include "net/http_connection.h"
 
 namespace sagetally {
@@ -147,14 +148,24 @@
   if (!is_lost_) silence_timer_.Schedule(kMaxSilence);
 }
 
+// Throws FormatError if the list can't be read. Logs each of its entries that can't be read.
+EndpointListUpdate EndpointListWatcher::ReadList(const std::string& text) {
+  json::Value value;
+  simdjson::error_code error = parser_.parse(text).get(value);
+  if (error == simdjson::UTF8_ERROR) error = parser_.parse(ReplaceInvalidUtf8(text)).get(value);
+  if (error != simdjson::SUCCESS) json::Malformed("not valid JSON");
+  std::vector<std::string> problems;
+  EndpointListUpdate update = ReadReadableEndpoints(value, site_, problems);
+  for (const std::string& problem : problems) log_.Warn("discovery.entry_skipped", {{"reason", problem}});
+  return update;
+}
+
 // A malformed list is not applied. Its changes count as announced all the same, so the watch is requested
 // again from the known revision on.
 void EndpointListWatcher::OnListReceived(const std::string& text) {
   EndpointListUpdate update;
   try {
-    json::Value value;
-    if (parser_.parse(text).get(value) != simdjson::SUCCESS) json::Malformed("not valid JSON");
-    update = ReadEndpointList(value, site_);
+    update = ReadList(text);
   } catch (const std::exception& error) {
     log_.Warn("discovery.unreadable", {{"reason", error.what()}});
     return OnWatchLost("unreadable");
--- a/tests/net/discovery_races_test.cpp
+++ b/tests/net/discovery_races_test.cpp
@@ -182,6 +182,45 @@
   }
 }
 
+// Guards against the cause of review/1 in lists: one entry that can't be read kept all changes of the others
+// from being heard. Its own endpoint must not be used any more.
+void AnUnreadableEntryDoesNotHoldUpTheOthers() {
+  const auto entry = [](const std::string& uid, const std::string& state) {
+    return R"({"uid":")" + uid + R"(","endpoint":"127.0.0.1:9","pod_group":7,"state":")" + state + "\"}";
+  };
+  const std::string unreadable[] = {entry("bad", "resting"), entry("\xba", "in_service"), "3",
+                                    R"({"uid":"bad","pod_group":7})", R"({"uid":7,"state":"in_service"})"};
+  for (const std::string& bad_entry : unreadable) {
+    for (const std::string all : {"true", "false"}) {
+      EventLoop loop;
+      std::map<std::string, EndpointRecord::State> states;
+      WatcherFixture fixture(loop, false);
+      fixture.watcher = std::make_unique<EndpointListWatcher>(
+          loop, Address{"127.0.0.1", fixture.discovery.port()}, fixture.site, 41, 1,
+          [&](const EndpointListUpdate& update) {
+            for (const EndpointUpdate& endpoint : update.endpoints) {
+              states[endpoint.record.endpoint] = endpoint.record.state;
+            }
+          },
+          fixture.log);
+      RunUntil(loop, [&] { return fixture.requests.size() == 2; });
+      loadtest::Call& watch = fixture.last_request();
+      watch.StartChunks();
+      watch.Chunk(R"({"rev":42,"all":)" + all + R"(,"targets":[)" + entry("first", "in_service") + "," +
+                  bad_entry + "," + entry("last", "terminating") + "]}\n");
+      RunUntil(loop, [&] { return states.contains("last"); });
+      assert(states.at("first") == EndpointRecord::State::kUp);
+      assert(states.at("last") == EndpointRecord::State::kDraining);
+      const bool is_named = bad_entry.find("bad") != std::string::npos;
+      assert(states.size() == (is_named && all == "false" ? 3U : 2U));
+      assert(!states.contains("bad") || states.at("bad") == EndpointRecord::State::kRemoved);
+      watch.Chunk(List(43, "terminating") + "\n");  // the watch goes on
+      RunUntil(loop, [&] { return states.contains("s"); });
+      assert(fixture.requests.size() == 2);
+    }
+  }
+}
+
 // The address of discovery changes during a watch, as by SIGHUP. What the old address still sends is ignored.
 void AResponseFromTheOldAddressIsIgnored() {
   EventLoop loop;
@@ -316,9 +355,10 @@
   ListsMayBeIndented();
   AWatchWithoutChangesIsNotLost();
   AMalformedListIsRequestedAgain();
+  AnUnreadableEntryDoesNotHoldUpTheOthers();
   AResponseFromTheOldAddressIsIgnored();
   AnOlderRevisionIsAcceptedOnlyAfterATimeout();
   AnEndlessResponseIsNotBuffered();
   ALateResponseAcknowledgesNoOtherNotification();
-  std::puts("9 passed, 0 failed");
+  std::puts("10 passed, 0 failed");
 }
