Events whose content type has a control character are refused

What callers would see: an event with "datacontenttype":"text/plain\u0000" was answered 202, and the byte was written into the head of its calls. What endpoints make of it was not tried; a reset would count against the endpoint.

Cause: SetAttributes looked for line breaks only. All other attributes are percent-encoded, Content-Type is not.

Change: all control characters but the tab are refused with 400 (RFC 9110, 5.5).

--- a/src/frontend/cloudevents/event_mapping.cpp
+++ b/src/frontend/cloudevents/event_mapping.cpp
@@ -18,6 +18,12 @@
   return attribute == event.attributes.end() ? "" : attribute->second;
 }
 
+// Returns whether the byte must not be part of an HTTP header (RFC 9110, section 5.5).
+bool IsControlCharacter(char c) {
+  const auto byte = static_cast<unsigned char>(c);
+  return (byte < 0x20 && c != '\t') || byte == 0x7f;
+}
+
 int GetWholeNumber(const CloudEvent& event, const char* name) {
   const std::string text = GetAttribute(event, name);
   const std::optional<int> number = ParseNumber<int>(text);
@@ -41,8 +47,8 @@
 // Stores the event's context attributes in `request` as the headers of binary mode.
 void SetAttributes(const CloudEvent& event, Request& request) {
   for (const auto& [name, value] : BinaryHeaders(event)) {
-    if (value.find_first_of("\r\n") != std::string::npos) {
-      throw FormatError("line break in '" + name + "'", {name, "one line", value});
+    if (std::ranges::any_of(value, IsControlCharacter)) {
+      throw FormatError("control character in '" + name + "'", {name, "one line of text", value});
     }
     request.attributes[name] = value;
   }
--- a/src/frontend/cloudevents/event_mapping.h
+++ b/src/frontend/cloudevents/event_mapping.h
@@ -9,7 +9,7 @@
 namespace sagetally {
 
 // Returns the core request that an event describes. Throws FormatError if an extension attribute is missing
-// or invalid, or if an attribute contains a line break.
+// or invalid, or if an attribute contains a control character.
 Request ToRequest(const CloudEvent& event, const SiteSettings& site);
 // Returns the event by which a core request is passed to another process. For a request that came in by the
 // platform's protocol, the context attributes are generated.
--- a/tests/app/cloudevents_test.cpp
+++ b/tests/app/cloudevents_test.cpp
@@ -93,6 +93,22 @@
   RunUntil(world.loop, [&] { return world.CountCalls() == 1; });
 }
 
+// Guards against a call that no endpoint can read, whose failure would be taken for the endpoint's fault.
+// fault.
+void RejectsContentTypesThatAreNoHeader() {
+  World world;
+  world.Start();
+  const Headers type = {{"Content-Type", kStructuredType}};
+  for (const char* const control : {"\\u0000", "\\u0001", "\\r\\n", "\\u007f"}) {
+    const std::string member = R"(,"datacontenttype":"text/plain)" + std::string(control) + "\"";
+    ClientRequest& request = world.PostEvent(type, EventJson("e", "aviso", member));
+    assert(world.AwaitStatus(request) == 400 && request.body == "control character in 'Content-Type'\n");
+  }
+  const std::string sound = R"(,"datacontenttype":"text/plain;\tcharset=utf-8")";
+  assert(world.AwaitStatus(world.PostEvent(type, EventJson("e", "aviso", sound))) == 202);
+  RunUntil(world.loop, [&] { return world.CountCalls() == 1; });
+}
+
 void DeliversBinaryEventAsBinary() {
   World world;
   world.Start();
@@ -265,6 +281,7 @@
   ParsesBinaryStructuredAndBatchMode();
   RejectsMalformedEventsWithReason();
   RejectsAttributesThatAreNotUtf8();
+  RejectsContentTypesThatAreNoHeader();
   DeliversBinaryEventAsBinary();
   DuplicateEventIsDeliveredOnce();
   OldestRetainedEventsAreDroppedForNewMessages();
@@ -272,5 +289,5 @@
   BatchIsAcceptedWholeOrNotAtAll();
   SinkIsNotifiedOfFailuresUntilItAcknowledges();
   BothProtocolsGiveTheSameOutcomes();
-  std::puts("11 passed, 0 failed");
+  std::puts("12 passed, 0 failed");
 }
