--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -223,7 +223,7 @@
 EndpointListUpdate ReadReadableEndpoints(Value list, const SiteSettings& site,
                                          std::vector<std::string>& problems) {
   std::optional<FormatError> first_error;
-  const EndpointListUpdate update =
+  EndpointListUpdate update =
       ReadEntries(list, site, [&](Value target, const FormatError& error, EndpointListUpdate& incomplete) {
         if (!first_error) first_error = error;
         problems.emplace_back(error.what());
--- a/src/core/message_table.cpp
+++ b/src/core/message_table.cpp
@@ -100,8 +100,8 @@
   const auto is_expired = [now](const RetainedMessage& retained) {
     return retained.completed_at + kDeduplicationWindow < now;
   };
-  if (retained_.empty() || (!is_expired(retained_.front()) && retained_.size() <= kMaxRetainedMessages))
-    return;
+  const bool is_any_expired = !retained_.empty() && is_expired(retained_.front());
+  if (!is_any_expired && retained_.size() <= kMaxRetainedMessages) return;
   for (auto oldest = FindOldestRemovable(); oldest != retained_.end(); oldest = FindOldestRemovable()) {
     const auto position_from_newest = static_cast<std::size_t>(retained_.end() - oldest);
     if (!is_expired(*oldest) && position_from_newest <= kMaxRetainedMessages) return;
@@ -124,7 +124,7 @@
   });
 }
 
-void MessageTable::RemoveRetained(std::deque<RetainedMessage>::iterator retained) {
+void MessageTable::RemoveRetained(const std::deque<RetainedMessage>::iterator& retained) {
   const std::uint64_t number = retained->number;
   retained_.erase(retained);
   Remove(number);
--- a/src/core/message_table.h
+++ b/src/core/message_table.h
@@ -86,7 +86,7 @@
   void Retain(const Message& message);
   // Returns the end if every retained message must be kept.
   std::deque<RetainedMessage>::iterator FindOldestRemovable();
-  void RemoveRetained(std::deque<RetainedMessage>::iterator retained);
+  void RemoveRetained(const std::deque<RetainedMessage>::iterator& retained);
 
   std::map<std::uint64_t, Message> messages_;
   std::unordered_map<std::string, std::uint64_t> numbers_by_key_;  // by MakeDeduplicationKey()
