An instance that can't be read no longer makes Eureka's whole answer unreadable

Cause: ReadInstances threw at the first instance or application that could not be read, and EurekaClient kept the old list.

Change: each application and instance is read by itself. One whose address or metadata can't be read has neither, so it is not used but still counts for the hash code; one without a readable id is left out. An answer of which nothing can be read is refused as before. Bytes that are not UTF-8 are replaced, as in discovery's list.

--- a/src/config/json.cpp
+++ b/src/config/json.cpp
@@ -41,6 +41,10 @@
   return root;
 }
 
+Value ParseReplacingInvalidUtf8(simdjson::dom::parser& parser, std::string_view text) {
+  return IsUtf8(text) ? Parse(parser, text) : Parse(parser, ReplaceInvalidUtf8(text));
+}
+
 bool Find(Value object, const char* name, Value& out) {
   simdjson::dom::object fields;
   if (object.get(fields) != simdjson::SUCCESS) {
--- a/src/config/json.h
+++ b/src/config/json.h
@@ -28,6 +28,9 @@
 // Parses a document. Its values are valid until `parser` is destroyed or parses the next document. Throws
 // FormatError.
 Value Parse(simdjson::dom::parser& parser, std::string_view text);
+// Does the same for a document in which bytes that are not UTF-8 are replaced, so that one string of it does
+// not make the rest unreadable.
+Value ParseReplacingInvalidUtf8(simdjson::dom::parser& parser, std::string_view text);
 
 // Returns the field's value, or nothing if it is absent or null. Throws FormatError if `object` is not an
 // object.
--- a/src/net/endpoint_list_watcher.cpp
+++ b/src/net/endpoint_list_watcher.cpp
@@ -8,7 +8,6 @@
 #include <optional>
 #include <utility>
 
-#include "base/utf8.h"
 #include "net/http_connection.h"
 
 namespace sagetally {
@@ -150,10 +149,7 @@
 
 // Throws FormatError if the list can't be read. Logs each of its entries that can't be read.
 EndpointListUpdate EndpointListWatcher::ReadList(const std::string& text) {
-  json::Value value;
-  simdjson::error_code error = parser_.parse(text).get(value);
-  if (error == simdjson::UTF8_ERROR) error = parser_.parse(ReplaceInvalidUtf8(text)).get(value);
-  if (error != simdjson::SUCCESS) json::Malformed("not valid JSON");
+  const json::Value value = json::ParseReplacingInvalidUtf8(parser_, text);
   std::vector<std::string> problems;
   EndpointListUpdate update = ReadReadableEndpoints(value, site_, problems);
   for (const std::string& problem : problems) log_.Warn("discovery.entry_skipped", {{"reason", problem}});
--- a/src/service_registry/eureka_format.cpp
+++ b/src/service_registry/eureka_format.cpp
@@ -52,29 +52,76 @@
   return texts;
 }
 
+// Reads host, port and metadata. If one of them can't be read, the instance has none of them, so it is not
+// used but still counts for the hash code.
+void ReadLocation(Value value, Instance& instance) {
+  try {
+    instance.host = Get<std::string>(value, "ipAddr", "");
+    if (instance.host.empty()) instance.host = Get<std::string>(value, "hostName");
+    instance.port = ReadPort(value);
+    instance.metadata = ReadMetadata(value);
+  } catch (const FormatError&) {
+    instance.host.clear();
+    instance.port = 0;
+    instance.metadata.clear();
+  }
+}
+
 Instance ReadInstance(Value value, const std::string& app) {
   Instance instance;
   instance.app = app;
-  instance.host = Get<std::string>(value, "ipAddr", "");
-  if (instance.host.empty()) instance.host = Get<std::string>(value, "hostName");
-  instance.port = ReadPort(value);
-  const std::string default_id = instance.host + ":" + std::to_string(instance.port);
-  instance.id = Get<std::string>(value, "instanceId", default_id);
   instance.status = Get<std::string>(value, "status", "UNKNOWN");
-  instance.metadata = ReadMetadata(value);
+  ReadLocation(value, instance);
+  instance.id = Get<std::string>(value, "instanceId", "");
+  if (instance.id.empty() && instance.host.empty()) {
+    json::Malformed("an instance has neither an id nor a host");
+  }
+  if (instance.id.empty()) instance.id = instance.host + ":" + std::to_string(instance.port);
   return instance;
 }
 
-// Calls `visit(instance, action)` for each instance in a response. Returns the hash code in the response.
+// Reads the parts of a response one by one, and leaves out those that can't be read.
+class PartReader {
+ public:
+  template <typename Read>
+  void Try(Read read) {
+    try {
+      read();
+    } catch (const FormatError& error) {
+      if (!first_error_) first_error_ = error;
+    }
+  }
+  void OnInstanceRead() { has_read_instance_ = true; }
+  // Throws the first error if no instance at all could be read.
+  void RequireReadable() const {
+    if (first_error_ && !has_read_instance_) throw FormatError(*first_error_);
+  }
+
+ private:
+  std::optional<FormatError> first_error_;
+  bool has_read_instance_ = false;
+};
+
+// Calls `visit(instance, action)` for each instance in a response that can be read. Returns the hash code in
+// the response. Throws FormatError if the response itself or all of its instances can't be read.
 std::string ReadInstances(std::string_view text, const std::function<void(Instance, std::string)>& visit) {
   simdjson::dom::parser parser;
-  const Value applications = json::Require(json::Parse(parser, text), "applications");
-  ForEachItem(applications, "application", [&](Value application) {
+  const Value applications = json::Require(json::ParseReplacingInvalidUtf8(parser, text), "applications");
+  PartReader parts;
+  const auto read_application = [&](Value application) {
     const auto name = Get<std::string>(application, "name");
-    ForEachItem(application, "instance", [&](Value instance) {
-      visit(ReadInstance(instance, name), Get<std::string>(instance, "actionType", "ADDED"));
+    ForEachItem(application, "instance", [&](Value value) {
+      parts.Try([&] {
+        Instance instance = ReadInstance(value, name);
+        auto action = Get<std::string>(value, "actionType", "ADDED");
+        if (instance.port != 0) parts.OnInstanceRead();
+        visit(std::move(instance), std::move(action));
+      });
     });
-  });
+  };
+  ForEachItem(applications, "application",
+              [&](Value application) { parts.Try([&] { read_application(application); }); });
+  parts.RequireReadable();
   return Get<std::string>(applications, "apps__hashcode", "");
 }
 
--- a/tests/app/roles_test.cpp
+++ b/tests/app/roles_test.cpp
@@ -107,6 +107,34 @@
   assert(!ApplyDelta(R"({"applications":{"apps__hashcode":"DOWN_1_UP_1_","application":[]}})", all));
 }
 
+// Guards against the cause of review/1 in the registry: one instance of any application that can't be read
+// made the whole response unreadable, so that no change of a planner or partner was heard.
+void UnreadableInstanceDoesNotHoldUpTheOthers() {
+  const std::string sound = R"({"instanceId":"i","ipAddr":"127.0.0.1","status":"UP","port":{"$":"80"}})";
+  const std::string unreadable[] = {
+      R"({"instanceId":"j","status":"UP","ipAddr":"127.0.0.1","port":{"$":"x"}})",
+      R"({"instanceId":"j","status":"UP"})",
+      R"({"instanceId":"j","status":"UP","ipAddr":"127.0.0.1","metadata":3})",
+      R"({"instanceId":7,"status":"UP","ipAddr":"127.0.0.1"})",
+      "3",
+      "{}",
+      "{\"instanceId\":\"n\xba\",\"status\":\"UP\",\"port\":[]}"};
+  for (const std::string& instance : unreadable) {
+    for (const char* const app : {"a", "b"}) {
+      const Applications all = ReadApplications(
+          R"({"applications":{"application":[{"instance":[]},{"name":")" + std::string(app) +
+          R"(","instance":[)" + instance + R"(]},{"name":"a","instance":[)" + sound + "]}]}}");
+      const Instance* selected = SelectPlanner(all.at("A"), 1);
+      assert(selected != nullptr && selected->id == "i" && selected->port == 80);
+    }
+  }
+  // The registry counts an instance whose address can't be read, so a delta with it is complete.
+  Applications all;
+  assert(ApplyDelta(R"({"applications":{"apps__hashcode":"UP_2_","application":{"name":"a","instance":[)" +
+                        sound + "," + unreadable[0] + "]}}}",
+                    all));
+}
+
 void DestinationKeepsItsPlannerWhileThePlannerIsUp() {
   std::map<std::string, Instance> planners;
   for (const char* id : {"a", "b", "c"}) {
@@ -230,11 +258,12 @@
 int main() {
   using namespace sagetally;
   ParsesRegistryResponses();
+  UnreadableInstanceDoesNotHoldUpTheOthers();
   DestinationKeepsItsPlannerWhileThePlannerIsUp();
   ParsesPartnersFromMetadata();
   ForwarderAndPlannersDeliverToPartners();
   ForwarderRejectsIdsThatAreNotUtf8();
   PlannerShutdownMovesItsDestinationsAndRegistryOutageKeepsTheList();
   UnreachablePlannerGives503OnlyIfNothingWasWritten();
-  std::puts("7 passed, 0 failed");
+  std::puts("8 passed, 0 failed");
 }
