Lists: one reading for discovery and `known`, errors of Eureka's instances logged, UTF-8 by simdjson

Change: ReadEndpointList leaves out what can't be read, for both, with the errors in the update; `discovery.entry_skipped` and `eureka.instance_skipped` tell of each. IsUtf8 is simdjson's.

--- a/src/app/dispatcher.cpp
+++ b/src/app/dispatcher.cpp
@@ -101,6 +101,9 @@
   if (predecessor_) {
     TakeOver();
   } else {
+    for (const std::string& error : config_.cached_endpoint_list.entry_errors) {
+      log_.Warn("discovery.entry_skipped", {{"reason", error}});
+    }
     pipeline_.router.OnEndpointListUpdate(config_.cached_endpoint_list);
   }
   if (dead_letters_) dead_letters_->Start(pipeline_, journal_.journal().is_new());
--- a/src/base/utf8.cpp
+++ b/src/base/utf8.cpp
@@ -1,5 +1,7 @@
 #include "base/utf8.h"
 
+#include <simdjson.h>
+
 #include <boost/locale/utf.hpp>
 
 namespace sagetally {
@@ -7,6 +9,8 @@
 
 using Utf8 = boost::locale::utf::utf_traits<char>;
 
+constexpr std::string_view kReplacementCharacter = "\xef\xbf\xbd";
+
 // Decodes the character at the beginning of `text`, which must not be empty. Returns its length in bytes, or
 // 0 if it is not well-formed.
 std::size_t CharacterLength(std::string_view text) {
@@ -19,16 +23,10 @@
 
 }  // namespace
 
-bool IsUtf8(std::string_view text) {
-  while (!text.empty()) {
-    const std::size_t length = CharacterLength(text);
-    if (length == 0) return false;
-    text.remove_prefix(length);
-  }
-  return true;
-}
+bool IsUtf8(std::string_view text) { return simdjson::validate_utf8(text.data(), text.size()); }
 
 std::string ReplaceInvalidUtf8(std::string_view text) {
+  if (IsUtf8(text)) return std::string(text);
   std::string valid;
   valid.reserve(text.size());
   while (!text.empty()) {
--- a/src/base/utf8.h
+++ b/src/base/utf8.h
@@ -8,14 +8,11 @@
 
 namespace sagetally {
 
-// U+FFFD, which stands for a byte that is not part of a character.
-inline constexpr std::string_view kReplacementCharacter = "\xef\xbf\xbd";
-
 // Returns whether `text` is well-formed UTF-8.
 bool IsUtf8(std::string_view text);
 
-// Returns `text` with the replacement character in place of each byte that is not part of a well-formed
-// character. Returns well-formed text unchanged.
+// Returns `text` with U+FFFD, the replacement character, in place of each byte that is not part of a
+// well-formed character. Returns well-formed text unchanged.
 std::string ReplaceInvalidUtf8(std::string_view text);
 
 }  // namespace sagetally
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -7,7 +7,6 @@
 #include <fstream>
 #include <sstream>
 
-#include "base/utf8.h"
 #include "config/parse_number.h"
 
 namespace sagetally {
@@ -44,19 +43,10 @@
                     {"state", "one of in_service, terminating, terminated", word});
 }
 
-// Two names that differ only in bytes that were replaced can't be told apart.
-std::string ReadEndpointName(Value target) {
-  auto name = Get<std::string>(target, "uid");
-  if (name.find(kReplacementCharacter) != std::string::npos) {
-    throw FormatError("'uid' is not UTF-8", {"uid", "UTF-8", name});
-  }
-  return name;
-}
-
 EndpointUpdate ReadEndpoint(Value target, const SiteSettings& site) {
   EndpointUpdate update;
   EndpointRecord& record = update.record;
-  record.endpoint = ReadEndpointName(target);
+  record.endpoint = Get<std::string>(target, "uid");
   update.address = Get<std::string>(target, "endpoint");
   ParseAddress(update.address, "endpoint");
   record.destination = Get<int>(target, "pod_group");
@@ -72,7 +62,7 @@
 std::optional<EndpointUpdate> ReadRemoval(Value target) {
   try {
     EndpointUpdate removal;
-    removal.record.endpoint = ReadEndpointName(target);
+    removal.record.endpoint = Get<std::string>(target, "uid");
     removal.record.destination = Get<int>(target, "pod_group");
     removal.record.state = EndpointRecord::State::kRemoved;
     return removal;
@@ -81,22 +71,6 @@
   }
 }
 
-// Reads a list. Calls `on_unreadable(target, error, update)` for each entry that can't be read.
-template <typename OnUnreadable>
-EndpointListUpdate ReadEntries(Value list, const SiteSettings& site, OnUnreadable on_unreadable) {
-  EndpointListUpdate update;
-  update.revision = Get<std::int64_t>(list, "rev");
-  update.is_full_snapshot = Get<bool>(list, "all", false);
-  for (const Value target : json::List(list, "targets")) {
-    try {
-      update.endpoints.push_back(ReadEndpoint(target, site));
-    } catch (const FormatError& error) {
-      on_unreadable(target, error, update);
-    }
-  }
-  return update;
-}
-
 // Reads one configuration. If several fields are wrong, the error names the one that is read first, so the
 // order of the calls in Read() is observable.
 class ConfigReader {
@@ -216,22 +190,23 @@
 }
 
 EndpointListUpdate ReadEndpointList(Value list, const SiteSettings& site) {
-  return ReadEntries(list, site,
-                     [](Value, const FormatError& error, EndpointListUpdate&) { throw FormatError(error); });
-}
-
-EndpointListUpdate ReadReadableEndpoints(Value list, const SiteSettings& site,
-                                         std::vector<std::string>& problems) {
+  EndpointListUpdate update;
+  update.revision = Get<std::int64_t>(list, "rev");
+  update.is_full_snapshot = Get<bool>(list, "all", false);
   std::optional<FormatError> first_error;
-  EndpointListUpdate update =
-      ReadEntries(list, site, [&](Value target, const FormatError& error, EndpointListUpdate& incomplete) {
-        if (!first_error) first_error = error;
-        problems.emplace_back(error.what());
-        const std::optional<EndpointUpdate> removal = ReadRemoval(target);
-        if (removal && !incomplete.is_full_snapshot) incomplete.endpoints.push_back(*removal);
-      });
-  const auto is_readable = [](const EndpointUpdate& endpoint) { return !endpoint.address.empty(); };
-  if (first_error && std::ranges::none_of(update.endpoints, is_readable)) throw FormatError(*first_error);
+  bool has_readable_entry = false;
+  for (const Value target : json::List(list, "targets")) {
+    try {
+      update.endpoints.push_back(ReadEndpoint(target, site));
+      has_readable_entry = true;
+    } catch (const FormatError& error) {
+      if (!first_error) first_error = error;
+      update.entry_errors.emplace_back(error.what());
+      const std::optional<EndpointUpdate> removal = ReadRemoval(target);
+      if (removal && !update.is_full_snapshot) update.endpoints.push_back(*removal);
+    }
+  }
+  if (first_error && !has_readable_entry) throw FormatError(*first_error);
   return update;
 }
 
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -74,13 +74,11 @@
 Config ParseConfig(const std::string& text, const Environment& environment,
                    ConfigRequirements requirements = ConfigRequirements());
 
-// Reads an endpoint list in the format of the platform's discovery. Throws FormatError that names the field.
-EndpointListUpdate ReadEndpointList(json::Value list, const SiteSettings& site);
-// Does the same, but leaves out entries that can't be read and adds the reason for each to `problems`. An
+// Reads an endpoint list in the format of the platform's discovery. Leaves out entries that can't be read. An
 // endpoint is not used while its entry can't be read, so a delta has it as removed if its name and
-// destination can be read. Throws FormatError if the list itself or every one of its entries can't be read.
-EndpointListUpdate ReadReadableEndpoints(json::Value list, const SiteSettings& site,
-                                         std::vector<std::string>& problems);
+// destination can be read. Throws FormatError that names the field if the list itself, or every one of its
+// entries, can't be read.
+EndpointListUpdate ReadEndpointList(json::Value list, const SiteSettings& site);
 
 }  // namespace sagetally
 
--- a/src/core/message.h
+++ b/src/core/message.h
@@ -158,6 +158,7 @@
   bool is_cached = false;     // read from the configuration, not from discovery
   std::int64_t revision = 0;  // of the list, as discovery counts it
   std::vector<EndpointUpdate> endpoints = {};
+  std::vector<std::string> entry_errors = {};  // why entries could not be read; these were left out
 };
 
 // Whether a call with this outcome may have taken effect although it did not succeed.
--- a/src/net/endpoint_list_watcher.cpp
+++ b/src/net/endpoint_list_watcher.cpp
@@ -147,25 +147,19 @@
   if (!is_lost_) silence_timer_.Schedule(kMaxSilence);
 }
 
-// Throws FormatError if the list can't be read. Logs each of its entries that can't be read.
-EndpointListUpdate EndpointListWatcher::ReadList(const std::string& text) {
-  const json::Value value = json::ParseReplacingInvalidUtf8(parser_, text);
-  std::vector<std::string> problems;
-  EndpointListUpdate update = ReadReadableEndpoints(value, site_, problems);
-  for (const std::string& problem : problems) log_.Warn("discovery.entry_skipped", {{"reason", problem}});
-  return update;
-}
-
 // A malformed list is not applied. Its changes count as announced all the same, so the watch is requested
 // again from the known revision on.
 void EndpointListWatcher::OnListReceived(const std::string& text) {
   EndpointListUpdate update;
   try {
-    update = ReadList(text);
+    update = ReadEndpointList(json::ParseReplacingInvalidUtf8(parser_, text), site_);
   } catch (const std::exception& error) {
     log_.Warn("discovery.unreadable", {{"reason", error.what()}});
     return OnWatchLost("unreadable");
   }
+  for (const std::string& error : update.entry_errors) {
+    log_.Warn("discovery.entry_skipped", {{"reason", error}});
+  }
   OnLineReceived();
   if (update.revision < revision_ && !accepts_older_revision_) {
     // An older list would put draining endpoints back into service. A discovery that lags behind sends the
--- a/src/net/endpoint_list_watcher.h
+++ b/src/net/endpoint_list_watcher.h
@@ -36,7 +36,6 @@
   void StartWatch();
   void OnWatchLost(const char* reason);
   void OnLineReceived();
-  EndpointListUpdate ReadList(const std::string& text);
   void OnListReceived(const std::string& text);
   void OnChunk(const std::string& text);
   static int OnHeaders(evhttp_request* request, void* self);
--- a/src/service_registry/eureka_client.cpp
+++ b/src/service_registry/eureka_client.cpp
@@ -110,16 +110,18 @@
 
 void EurekaClient::UpdateApplications(const std::string& response, bool is_delta) {
   Applications updated;
+  std::vector<std::string> errors;
   if (is_delta) {
     updated = applications_;
-    if (!ApplyDelta(response, updated)) {
+    if (!ApplyDelta(response, updated, errors)) {
       has_full_list_ = false;
       fetch_timer_.Schedule(Duration(0));
       return;
     }
   } else {
-    updated = ReadApplications(response);
+    updated = ReadApplications(response, errors);
   }
+  for (const std::string& error : errors) log_.Warn("eureka.instance_skipped", {{"why", error}});
   has_full_list_ = true;
   if (updated == applications_) return;
   applications_ = std::move(updated);
--- a/src/service_registry/eureka_format.cpp
+++ b/src/service_registry/eureka_format.cpp
@@ -80,48 +80,36 @@
   return instance;
 }
 
-// Reads the parts of a response one by one, and leaves out those that can't be read.
-class PartReader {
- public:
-  template <typename Read>
-  void Try(Read read) {
+// Calls `visit(instance, action)` for each instance in a response that can be read, and adds the error of
+// each other one to `errors`. Returns the hash code in the response. Throws FormatError if the response
+// itself or all of its instances can't be read.
+std::string ReadInstances(std::string_view text, const std::function<void(Instance, std::string)>& visit,
+                          std::vector<std::string>& errors) {
+  simdjson::dom::parser parser;
+  const Value applications = json::Require(json::ParseReplacingInvalidUtf8(parser, text), "applications");
+  std::optional<FormatError> first_error;
+  bool has_readable_instance = false;
+  const auto read_part = [&](const auto& read) {
     try {
       read();
     } catch (const FormatError& error) {
-      if (!first_error_) first_error_ = error;
+      if (!first_error) first_error = error;
+      errors.emplace_back(error.what());
     }
-  }
-  void OnInstanceRead() { has_read_instance_ = true; }
-  // Throws the first error if no instance at all could be read.
-  void RequireReadable() const {
-    if (first_error_ && !has_read_instance_) throw FormatError(*first_error_);
-  }
-
- private:
-  std::optional<FormatError> first_error_;
-  bool has_read_instance_ = false;
-};
-
-// Calls `visit(instance, action)` for each instance in a response that can be read. Returns the hash code in
-// the response. Throws FormatError if the response itself or all of its instances can't be read.
-std::string ReadInstances(std::string_view text, const std::function<void(Instance, std::string)>& visit) {
-  simdjson::dom::parser parser;
-  const Value applications = json::Require(json::ParseReplacingInvalidUtf8(parser, text), "applications");
-  PartReader parts;
+  };
+  const auto read_instance = [&](Value value, const std::string& app) {
+    Instance instance = ReadInstance(value, app);
+    auto action = Get<std::string>(value, "actionType", "ADDED");
+    has_readable_instance = has_readable_instance || instance.port != 0;
+    visit(std::move(instance), std::move(action));
+  };
   const auto read_application = [&](Value application) {
-    const auto name = Get<std::string>(application, "name");
-    ForEachItem(application, "instance", [&](Value value) {
-      parts.Try([&] {
-        Instance instance = ReadInstance(value, name);
-        auto action = Get<std::string>(value, "actionType", "ADDED");
-        if (instance.port != 0) parts.OnInstanceRead();
-        visit(std::move(instance), std::move(action));
-      });
-    });
+    const auto app = Get<std::string>(application, "name");
+    ForEachItem(application, "instance", [&](Value value) { read_part([&] { read_instance(value, app); }); });
   };
   ForEachItem(applications, "application",
-              [&](Value application) { parts.Try([&] { read_application(application); }); });
-  parts.RequireReadable();
+              [&](Value application) { read_part([&] { read_application(application); }); });
+  if (first_error && !has_readable_instance) throw FormatError(*first_error);
   return Get<std::string>(applications, "apps__hashcode", "");
 }
 
@@ -141,18 +129,19 @@
 
 }  // namespace
 
-Applications ReadApplications(std::string_view text) {
+Applications ReadApplications(std::string_view text, std::vector<std::string>& errors) {
   Applications applications;
-  ReadInstances(text, [&](Instance instance, const std::string&) {
+  const auto add = [&](Instance instance, const std::string&) {
     InstancesById& instances = applications[ToUpper(instance.app)];
     const std::string id = instance.id;
     instances[id] = std::move(instance);
-  });
+  };
+  ReadInstances(text, add, errors);
   return applications;
 }
 
-bool ApplyDelta(std::string_view text, Applications& applications) {
-  const std::string hash_code = ReadInstances(text, [&](Instance instance, const std::string& action) {
+bool ApplyDelta(std::string_view text, Applications& applications, std::vector<std::string>& errors) {
+  const auto apply = [&](Instance instance, const std::string& action) {
     const std::string app = ToUpper(instance.app);
     const std::string id = instance.id;
     if (action == "DELETED") {
@@ -160,7 +149,8 @@
     } else {
       applications[app][id] = std::move(instance);
     }
-  });
+  };
+  const std::string hash_code = ReadInstances(text, apply, errors);
   return hash_code.empty() || hash_code == HashCode(applications);
 }
 
--- a/src/service_registry/eureka_format.h
+++ b/src/service_registry/eureka_format.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace sagetally {
 
@@ -33,13 +34,13 @@
 using Applications = std::map<std::string, InstancesById>;
 
 // Parses the response to GET apps. Leaves out instances whose name, id or status can't be read; one whose
-// address or metadata can't be read has neither. Throws FormatError if the response itself or all of its
-// instances are malformed.
-Applications ReadApplications(std::string_view text);
+// address or metadata can't be read has neither. Adds the errors of those left out to `errors`. Throws
+// FormatError if the response itself or all of its instances are malformed.
+Applications ReadApplications(std::string_view text, std::vector<std::string>& errors);
 // Applies the response to GET apps/delta to `applications`. Returns false if the result has another hash code
 // than the one in the delta, in which case a full fetch is needed. Throws FormatError like
 // ReadApplications(); a part of it may have been applied then.
-bool ApplyDelta(std::string_view text, Applications& applications);
+bool ApplyDelta(std::string_view text, Applications& applications, std::vector<std::string>& errors);
 // Returns Eureka's hash code of a list: the number of instances with each status, such as "DOWN_1_UP_3_".
 std::string HashCode(const Applications& applications);
 
