--- a/tests/app/clients_test.cpp
+++ b/tests/app/clients_test.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 
+#include "config/json.h"
 #include "world.h"
 
 namespace sagetally {
@@ -30,13 +31,20 @@
   world.Start();
   const std::string requests[] = {
       SubmissionRequest("pedido-n\xba-0077", "Content-Length: 0\r\n\r\n"),
-      SubmissionRequest("\xed\xa0\x80", "Content-Length: 0\r\n\r\n"),
+      SubmissionRequest("\xed\xa0\x80", "Content-Length: 0\r\n\r\n"),  // a surrogate
+      SubmissionRequest("cut-off-\xc3", "Content-Length: 0\r\n\r\n"),
+      SubmissionRequest("overlong-\xc0\xaf", "Content-Length: 0\r\n\r\n"),
       SubmissionRequest("a", "Idempotency-Key: n\xba\r\nContent-Length: 0\r\n\r\n")};
   for (const std::string& request : requests) {
     RawClient client(world.loop, world.dispatcher->port(), request);
     RunUntil(world.loop, [&] { return client.received.find("UTF-8") != std::string::npos; });
     assert(client.received.starts_with("HTTP/1.1 400 "));
   }
+  for (const std::string& control : {std::string("\x01"), std::string(1, '\0'), std::string("\x7f")}) {
+    RawClient client(world.loop, world.dispatcher->port(),
+                     SubmissionRequest("a" + control + "b", "Content-Length: 0\r\n\r\n"));
+    RunUntil(world.loop, [&] { return client.received.starts_with("HTTP/1.1 400 "); });
+  }
   const std::string utf8 = "n\xc2\xba-\xe2\x82\xac";
   RawClient client(world.loop, world.dispatcher->port(),
                    SubmissionRequest(utf8, "Content-Length: 0\r\n\r\n"));
@@ -44,6 +52,43 @@
   assert(client.received.starts_with("HTTP/1.1 202 ") && world.CountCalls() == 1);
 }
 
+// Guards against a check of ids that refuses, or a JSON writer that changes, what is sound but unusual.
+void UnusualIdsReachPartnersAndThePlatformUnchanged() {
+  World world;
+  world.Start();
+  std::string longest = "\xf0\x9f\x9a\x9a";
+  while (longest.size() < 512) longest += "\xc3\xa4";
+  const std::set<std::string> ids = {"pedido-\xc3\xa4\xc3\x9f",
+                                     "\xf0\x9f\x98\x80\xe2\x82\xac",
+                                     "q\"uo\"te",
+                                     "back\\slash\\",
+                                     "a\tb",
+                                     "</script>{}[],:",
+                                     "\xef\xbf\xbd",
+                                     longest};
+  const auto post = [&](const std::string& id, const std::string& deadline) {
+    const Headers headers = {{"X-Request-Id", id}, {"X-Deadline", deadline}, {"X-Envelope", "dest=7"}};
+    return world.AwaitStatus(world.PostRaw("/aviso", headers, "x"));
+  };
+  for (const std::string& id : ids) {
+    assert(post(id, "9000m") == 202);
+    RunUntil(world.loop, [&] { return world.CountCallsOf(id) == 1; });
+  }
+  world.endpoints[0]->default_status = 0;  // from now on no call has a response
+  for (const std::string& id : ids) assert(post(id + ".", "200m") == (id == longest ? 400 : 202));
+  std::set<std::string> told;
+  RunUntil(world.loop, [&] {
+    std::istringstream lines(world.agent.notices);
+    simdjson::dom::parser parser;
+    for (std::string line; std::getline(lines, line);) {
+      told.insert(json::Get<std::string>(json::Parse(parser, line), "id"));
+    }
+    return told.size() + 1 == ids.size();
+  });
+  for (const std::string& id : told) assert(id.ends_with('.') && ids.contains(id.substr(0, id.size() - 1)));
+  assert(world.agent.malformed == 0);
+}
+
 // Guards against request smuggling. Two HTTP implementations may disagree on where a malformed request ends,
 // so a request that follows it on the connection must not be accepted.
 void MalformedRequestIsRejectedWithARequestHiddenBehindIt() {
@@ -248,6 +293,7 @@
 int main() {
   using namespace sagetally;
   IdsAndKeysThatAreNotUtf8AreRejected();
+  UnusualIdsReachPartnersAndThePlatformUnchanged();
   MalformedRequestIsRejectedWithARequestHiddenBehindIt();
   IncompleteAndIdleConnectionsAreClosedInTime();
   UnusedAndIdleConnectionsAreClosedForClientsWithRequests();
@@ -255,5 +301,5 @@
   ConnectionBurstIsShedAtAnySocketLimit();
   PipelinedRequestsAreAnsweredInOrder();
   RepeatedRequestIsDeliveredOnce();
-  std::puts("8 passed, 0 failed");
+  std::puts("9 passed, 0 failed");
 }
--- a/tests/app/cloudevents_test.cpp
+++ b/tests/app/cloudevents_test.cpp
@@ -1,5 +1,10 @@
 // Tests of the CloudEvents frontend: its parsers, its rules on real sockets, and a comparison of the outcomes
 // of both protocols message by message.
+#include <fmt/format.h>
+
+#include <set>
+
+#include "config/json.h"
 #include "frontend/cloudevents/cloud_event.h"
 #include "world.h"
 
@@ -80,19 +85,91 @@
   }
 }
 
-// Guards against review/1 in the second front: percent-encoded or raw bytes in an attribute are no text
-// either, and its result event was no JSON.
+// Returns the text with each byte percent-encoded.
+std::string PercentEncoded(const std::string& text) {
+  std::string encoded;
+  for (const char c : text) encoded += fmt::format("%{:02X}", static_cast<unsigned char>(c));
+  return encoded;
+}
+
+// Guards against review/1 in the second front: attributes with bytes that are no text were taken on, and the
+// result event was no JSON. Each attribute must be refused in each form of an event.
 void RejectsAttributesThatAreNotUtf8() {
   World world;
   world.Start();
-  for (const char* const id : {"n%BA", "n\xba", "%ED%A0%80"}) {
-    ClientRequest& request = world.PostEvent(BinaryModeHeaders(id, "aviso"), "x");
-    assert(world.AwaitStatus(request) == 400 && request.body == "attribute 'id' is not UTF-8\n");
+  const char* const invalid_texts[] = {"n\xba", "\xc3", "\xc0\xaf", "\xed\xa0\x80", "\xf4\x90\x80\x80"};
+  for (const char* const name : {"id", "source", "type", "subject", "idempotencykey", "myextension"}) {
+    for (const std::string text : invalid_texts) {
+      for (const std::string& value : {text, PercentEncoded(text)}) {
+        Headers headers = BinaryModeHeaders("e", "aviso");
+        std::erase_if(headers, [&](const auto& header) { return header.first == std::string("ce-") + name; });
+        headers.emplace_back(std::string("ce-") + name, value);
+        ClientRequest& request = world.PostEvent(headers, "x");
+        assert(world.AwaitStatus(request) == 400);
+        assert(request.body == "attribute '" + std::string(name) + "' is not UTF-8\n");
+      }
+      const std::string event =
+          R"({"specversion":"1.0","id":"e","source":"/s","type":"t","messageclass":"aviso",)"
+          R"("destination":7,")" +
+          std::string(name) + "\":\"" + text + "\"}";
+      assert(world.AwaitStatus(world.PostEvent({{"Content-Type", kStructuredType}}, event)) == 400);
+      assert(world.AwaitStatus(world.PostEvent({{"Content-Type", kBatchType}}, "[" + event + "]")) == 400);
+    }
   }
+  assert(world.CountCalls() == 0);
   assert(world.AwaitStatus(world.PostEvent(BinaryModeHeaders("n%C2%BA", "aviso"), "\xba")) == 202);
   RunUntil(world.loop, [&] { return world.CountCalls() == 1; });
 }
 
+// Guards against a check of attributes that refuses, or a JSON writer that changes, what is sound but
+// unusual.
+void UnusualEventIdsReachPartnersAndTheSinkUnchanged() {
+  World world;
+  std::set<std::string> told;
+  world.sink = std::make_unique<HttpServer>(
+      world.loop, Address{"127.0.0.1", 0}, HttpServer::Limits{1 << 20, 200},
+      [&](const std::shared_ptr<Exchange>& exchange) {
+        simdjson::dom::parser parser;
+        const simdjson::dom::array events = json::Parse(parser, exchange->body());
+        for (const json::Value event : events) {
+          const json::Value data = json::Require(event, "data");
+          told.insert(json::Get<std::string>(data, "id"));
+        }
+        exchange->Respond(204);
+      });
+  world.Start();
+  const std::string ids[] = {
+      "pedido-\xc3\xa4\xc3\x9f",    "\xf0\x9f\x98\x80", "q\"uote", "back\\slash", "50%", "line\nbreak",
+      std::string("zero\0byte", 9), "\x01\x7f"};
+  std::set<std::string> sent;
+  const auto post = [&](const std::string& id, bool is_structured, const std::string& deadline_ms) {
+    Headers headers = {{"Content-Type", kStructuredType}};
+    std::string body =
+        R"({"specversion":"1.0","source":"/shop","type":"t","messageclass":"aviso","destination":7,)"
+        R"("deadlinems":)" +
+        deadline_ms + R"(,"id":)" + json::Quote(id) + "}";
+    if (!is_structured) {
+      headers = BinaryModeHeaders(PercentEncoded(id), "aviso");
+      for (auto& [name, value] : headers) value = name == "ce-deadlinems" ? deadline_ms : value;
+      body = "x";
+    }
+    return world.AwaitStatus(world.PostEvent(headers, body));
+  };
+  for (const std::string& id : ids) {
+    for (const bool is_structured : {false, true}) {
+      const std::string full_id = id + (is_structured ? "-structured" : "-binary");
+      assert(post(full_id, is_structured, "9000") == 202);
+      sent.insert(full_id);
+      RunUntil(world.loop, [&] { return world.CountCalls() == sent.size(); });
+      assert(DecodeHeader(HeaderValue(world.endpoints[0]->calls.back().headers, "ce-id")) == full_id);
+    }
+  }
+  world.endpoints[0]->default_status = 0;  // from now on no call has a response
+  for (const std::string& id : sent) assert(post(id + ".", id.ends_with("structured"), "200") == 202);
+  RunUntil(world.loop, [&] { return told.size() == sent.size(); });
+  for (const std::string& id : told) assert(sent.contains(id.substr(0, id.size() - 1)));
+}
+
 // Guards against a call that no endpoint can read, whose failure would be taken for the endpoint's fault.
 // fault.
 void RejectsContentTypesThatAreNoHeader() {
@@ -281,6 +358,7 @@
   ParsesBinaryStructuredAndBatchMode();
   RejectsMalformedEventsWithReason();
   RejectsAttributesThatAreNotUtf8();
+  UnusualEventIdsReachPartnersAndTheSinkUnchanged();
   RejectsContentTypesThatAreNoHeader();
   DeliversBinaryEventAsBinary();
   DuplicateEventIsDeliveredOnce();
@@ -289,5 +367,5 @@
   BatchIsAcceptedWholeOrNotAtAll();
   SinkIsNotifiedOfFailuresUntilItAcknowledges();
   BothProtocolsGiveTheSameOutcomes();
-  std::puts("12 passed, 0 failed");
+  std::puts("13 passed, 0 failed");
 }
--- a/tests/app/restart_test.cpp
+++ b/tests/app/restart_test.cpp
@@ -121,6 +121,40 @@
   assert(world.agent.malformed == 0 && IsUtf8(world.agent.notices) && world.CountCalls() == 0);
 }
 
+// Returns how often the notices that the agent has received contain `id`.
+int CountNotices(const World& world, const std::string& id) {
+  const std::string key = "\"id\":\"" + id + "\"";
+  int count = 0;
+  for (std::size_t at = world.agent.notices.find(key); at != std::string::npos;
+       at = world.agent.notices.find(key, at + 1)) {
+    ++count;
+  }
+  return count;
+}
+
+// Guards against review/1 after an upgrade. Version 864f87d was killed with messages pending, or with notices
+// that the platform did not accept, four of them with ids that are not UTF-8. Each message must be told once.
+void JournalWithUnreadableIdsOfAnOlderVersionIsServed() {
+  for (const char* const journal : {"pending", "ended"}) {
+    World world;
+    std::filesystem::copy(SAGETALLY_GOLDEN "/journal-latin1-ids/" + std::string(journal),
+                          world.folder.path + "/journal");
+    world.Start();
+    std::vector<std::string> ids = {"pedido-n\xef\xbf\xbd-0077", "cut-off-\xef\xbf\xbd",
+                                    "overlong-\xef\xbf\xbd\xef\xbf\xbd",
+                                    "surrogate-\xef\xbf\xbd\xef\xbf\xbd\xef\xbf\xbd"};
+    for (int i = 0; i < 20; ++i) ids.push_back((i < 10 ? "m0" : "m") + std::to_string(i));
+    RunUntil(world.loop, [&] {
+      return std::ranges::all_of(ids, [&](const auto& id) { return CountNotices(world, id) > 0; });
+    });
+    assert(world.AwaitStatus(world.Post("aviso", "fresh")) == 202);
+    RunUntil(world.loop, [&] { return world.CountCallsOf("fresh") == 1; });
+    RunFor(world.loop, 100ms);
+    for (const std::string& id : ids) assert(CountNotices(world, id) == 1);
+    assert(world.agent.malformed == 0 && world.CountCalls() == 1);
+  }
+}
+
 // Guards against the same fault in result events. An attribute may have got such bytes by percent-encoding.
 void ResultEventsOfOldRecordsAreUtf8() {
   World world;
@@ -154,6 +188,7 @@
   DeduplicationWindowContinuesOverRestart();
   IdleClientsLeaveDescriptorsForDiscoveryCallsAndJournal();
   NoticesOfOldRecordsAreUtf8();
+  JournalWithUnreadableIdsOfAnOlderVersionIsServed();
   ResultEventsOfOldRecordsAreUtf8();
-  std::puts("5 passed, 0 failed");
+  std::puts("6 passed, 0 failed");
 }
--- a/tests/logging/logger_test.cpp
+++ b/tests/logging/logger_test.cpp
@@ -27,6 +27,24 @@
          line["bytes"].is_string());
 }
 
+// Guards against a log in which an id can't be found as its client wrote it.
+void UnusualTextIsLoggedUnchanged() {
+  const std::string texts[] = {
+      "pedido-\xc3\xa4\xc3\x9f", "\xf0\x9f\x98\x80", "q\"uote", "back\\slash", "a\tb", "line\nbreak",
+      std::string(512, 'x')};
+  for (const std::string& text : texts) {
+    std::ostringstream out;
+    const auto sink = std::make_shared<spdlog::sinks::ostream_sink_st>(out);
+    Logger(LogOptions{LogFormat::kJson, LogLevel::kInfo, 20}, sink).Info("a.b", {{"id", text}});
+    assert(nlohmann::json::parse(out.str())["id"] == text);
+    out.str("");
+    Logger(LogOptions{}, sink).Info("a.b", {{"id", text}});
+    const std::string line = out.str();
+    const std::string value = line.substr(line.find("id=") + 3, line.size() - line.find("id=") - 4);
+    assert(value == text || nlohmann::json::parse(value) == text);
+  }
+}
+
 void RateLimitAppliesToEachEventSeparately() {
   std::ostringstream out;
   Logger log(LogOptions{LogFormat::kText, LogLevel::kInfo, 3},
@@ -42,6 +60,7 @@
 
 int main() {
   sagetally::LinesContainTheEventAndItsFields();
+  sagetally::UnusualTextIsLoggedUnchanged();
   sagetally::RateLimitAppliesToEachEventSeparately();
-  std::puts("2 passed, 0 failed");
+  std::puts("3 passed, 0 failed");
 }
