--- a/src/estimators/decay.h
+++ b/src/estimators/decay.h
@@ -96,7 +96,7 @@
     return FromSeconds(ToSeconds(*limit_) * std::exp2(doublings));
   }
 
-  // Sets the limit as of `now`.
+  // Sets the limit as of `now`. A limit of 0 stays 0 until it is removed by time.
   void Set(Duration limit, Time now) {
     limit_ = limit;
     set_at_ = now;
