--- a/tests/dead_letter/crash_test.cpp
+++ b/tests/dead_letter/crash_test.cpp
@@ -277,6 +277,29 @@
   assert(CountStored(environment, "id = \"second\" and state = delivered") == 1);
 }
 
+// Guards against one dead letter that its partner never accepts and that keeps the others of its destination
+// from being redriven.
+void ADeadLetterThatIsNeverAcceptedHoldsUpNoOther() {
+  SimulatedWorld environment;
+  const NodeConfig config(environment);
+  SimulatedNode node(environment, config);
+  std::set<std::string> others;
+  for (int i = 0; i < 20; ++i) {
+    const std::string name = "aviso" + std::to_string(i);
+    assert(node.Submit("aviso", name));
+    if (i != 0) others.insert(name);
+  }
+  node.RunFor(seconds(3), Outcome::kConnectFailed);  // until all are stored
+  assert(StoredByRequestId(environment).size() == 20);
+  const Time recovered_at = environment.clock.now;
+  while (environment.delivered.size() < others.size()) {
+    const bool is_refused = !node.calls.empty() && node.names[node.calls.back().message_number] == "aviso0";
+    if (!node.RunStep(is_refused ? Outcome::kError : Outcome::kOk, false)) node.Wait();
+    assert(environment.clock.now < recovered_at + std::chrono::minutes(2));
+  }
+  assert(environment.delivered == others);
+}
+
 }  // namespace
 }  // namespace sagetally
 
@@ -290,5 +313,6 @@
   RedriveIsForbiddenWhenTheDeduplicationWindowEndsWhileItWaits();
   MessageCompletedWithACallInFlightMayHaveRun();
   DisablingAndEnablingDeadLettersLosesAndRepeatsNothing();
-  std::puts("8 passed, 0 failed");
+  ADeadLetterThatIsNeverAcceptedHoldsUpNoOther();
+  std::puts("9 passed, 0 failed");
 }
--- a/tests/dead_letter/store_test.cpp
+++ b/tests/dead_letter/store_test.cpp
@@ -7,6 +7,7 @@
 #include <fstream>
 
 #include "../app/world.h"
+#include "dead_letter/dead_letter_json.h"
 #include "dead_letter/rule_evaluation.h"
 #include "dead_letter/rule_parser.h"
 #include "dead_letter/rule_printer.h"
@@ -88,6 +89,20 @@
   assert(db.Count(Condition(), Time(0)) == 2 && db.HighestNumber("n0") == 8);
 }
 
+// Guards against a stored message of an older version that the store, or a report on it, can't read.
+void IdsThatAreNotUtf8AreStoredAndReported() {
+  const TemporaryFolder folder;
+  Database db(SettingsIn(folder));
+  DeadLetter dead_letter = FailedMessage(7);
+  dead_letter.request.id = "pedido-n\xba-0077";
+  dead_letter.request.idempotency_key = "\xc3";
+  db.Store({{dead_letter, false, Time(0), 5}});
+  const std::optional<DeadLetter> stored = db.Show(dead_letter.id, true);
+  assert(stored && stored->request.id == dead_letter.request.id);
+  assert(stored->request.idempotency_key == dead_letter.request.idempotency_key);
+  assert(ToJson(*stored, true).find("pedido-n\xef\xbf\xbd-0077") != std::string::npos);
+}
+
 void OneClaimAtATimeAndItsResultIsRecordedOnce() {
   const TemporaryFolder folder;
   Database db(SettingsIn(folder));
@@ -279,11 +294,12 @@
   using namespace sagetally::dead_letter;
   SqlFiltersFindTheMessagesThatMatch();
   StoredMessagesAreReadUnchanged();
+  IdsThatAreNotUtf8AreStoredAndReported();
   OneClaimAtATimeAndItsResultIsRecordedOnce();
   EvictionRemovesTheLowestPriorityWeightAndTheOldestFirst();
   MessagesOfBlockedRulesAreReviewedAtTheRateOfTheRule();
   OlderSchemasAreMigratedAndNewerOnesRejected();
   DamagedLockedAndMissingFilesAreReported();
   AFullStoreIsReported();
-  std::puts("8 passed, 0 failed");
+  std::puts("9 passed, 0 failed");
 }
