--- a/src/loadtest/commands/soak_command.cpp
+++ b/src/loadtest/commands/soak_command.cpp
@@ -19,6 +19,7 @@
 
 constexpr std::size_t kMaxShownViolations = 5;
 constexpr std::size_t kMaxShownLogLines = 40;
+constexpr double kBytesPerMegabyte = 1024 * 1024;
 
 struct SoakCommandOptions {
   std::uint64_t seed = 1;
@@ -55,11 +56,12 @@
 void PrintResult(const SoakSchedule& schedule, const SoakResult& result) {
   std::cout << fmt::format(
       "seed {}: {} nodes, crowd {}, {} requests, {} answered, {} faults injected, {} calls on {} connections "
-      "with {} path faults, {} violations{}\n",
-      schedule.seed, schedule.nodes, schedule.half_request_connections, result.requests, result.answered,
+      "with {} path faults, peak memory {:.1f} of {} MB, {} violations{}\n",
+      schedule.seed, schedule.nodes, schedule.crowd.connections, result.requests, result.answered,
       result.injected_faults, result.partner_path.requests, result.partner_path.connections,
-      result.FaultCount() - result.injected_faults, result.violations.size(),
-      result.IsThin() ? ", thin" : "");
+      result.FaultCount() - result.injected_faults,
+      static_cast<double>(result.peak_memory_bytes) / kBytesPerMegabyte, schedule.memory_mb,
+      result.violations.size(), result.IsThin() ? ", thin" : "");
   for (std::size_t i = 0; i < result.violations.size() && i < kMaxShownViolations; ++i) {
     const SoakViolation& violation = result.violations[i];
     std::cout << "  " << violation.rule << " " << violation.id << ": " << violation.detail << "\n";
--- a/src/loadtest/demo/child.cpp
+++ b/src/loadtest/demo/child.cpp
@@ -22,6 +22,20 @@
   return WIFEXITED(status) ? WEXITSTATUS(status) : kSignalExitCodeBase + WTERMSIG(status);
 }
 
+// Returns the field "port" of the first whole line of the file that contains `event`.
+std::optional<std::uint16_t> FindPort(const std::string& log, std::string_view event) {
+  constexpr std::string_view kPortField = " port=";
+  std::ifstream file(log);
+  for (std::string line; std::getline(file, line);) {
+    const std::size_t port = line.find(kPortField);
+    const bool is_complete = !file.eof();
+    if (line.find(event) != std::string::npos && port != std::string::npos && is_complete) {
+      return static_cast<std::uint16_t>(std::stoi(line.substr(port + kPortField.size())));
+    }
+  }
+  return std::nullopt;
+}
+
 }  // namespace
 
 Child::Child(std::vector<std::string> arguments, const std::string& folder, const std::string& log)
@@ -65,17 +79,10 @@
   if (pid_ > 0) ::kill(pid_, number);
 }
 
-std::optional<std::uint16_t> ReadyPort(const std::string& log) {
-  constexpr std::string_view kPortField = " port=";
-  std::ifstream file(log);
-  for (std::string line; std::getline(file, line);) {
-    const std::size_t port = line.find(kPortField);
-    const bool is_complete = !file.eof();
-    if (line.find(" ready name=") != std::string::npos && port != std::string::npos && is_complete) {
-      return static_cast<std::uint16_t>(std::stoi(line.substr(port + kPortField.size())));
-    }
-  }
-  return std::nullopt;
+std::optional<std::uint16_t> ReadyPort(const std::string& log) { return FindPort(log, " ready name="); }
+
+std::optional<std::uint16_t> CloudEventsPort(const std::string& log) {
+  return FindPort(log, " cloudevents.ready ");
 }
 
 int Child::Wait() const {
--- a/src/loadtest/demo/child.h
+++ b/src/loadtest/demo/child.h
@@ -46,6 +46,8 @@
 // Reads a node's log and returns the port for clients that it names once the node is ready, which is 0 for a
 // node that has none. Returns std::nullopt while the node is not ready.
 std::optional<std::uint16_t> ReadyPort(const std::string& log);
+// Returns the port for CloudEvents that a node's log names, or std::nullopt if it names none.
+std::optional<std::uint16_t> CloudEventsPort(const std::string& log);
 
 }  // namespace sagetally::loadtest
 
--- a/src/loadtest/soak/soak_client.cpp
+++ b/src/loadtest/soak/soak_client.cpp
@@ -1,7 +1,6 @@
 #include "loadtest/soak/soak_client.h"
 
 #include <fmt/format.h>
-#include <netinet/in.h>
 #include <poll.h>
 #include <sys/socket.h>
 
@@ -15,7 +14,7 @@
 #include <thread>
 
 #include "loadtest/clock.h"
-#include "loadtest/demo/demo_config.h"
+#include "loadtest/soak/loopback_connection.h"
 
 namespace sagetally::loadtest {
 namespace {
@@ -32,24 +31,6 @@
 // Names of the demonstration's message classes, indexed by Idempotency.
 constexpr std::array<const char*, 3> kClassNames = {"aviso", "pedido", "pagamento"};
 
-sockaddr_in Loopback(std::uint16_t port) {
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(port);
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  return address;
-}
-
-// Returns an empty descriptor if the connection is not established.
-FileDescriptor ConnectTo(std::uint16_t port) {
-  FileDescriptor socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
-  const sockaddr_in address = Loopback(port);
-  if (::connect(socket.get(), reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0) {
-    return FileDescriptor();
-  }
-  return socket;
-}
-
 // Whether `text` holds a complete response. The body's length is taken from Content-Length; without that
 // header the response ends with its header section.
 bool IsCompleteResponse(const std::string& text) {
@@ -64,11 +45,11 @@
 
 }  // namespace
 
-SoakClient::SoakClient(int node, const std::atomic<std::uint16_t>& port, std::uint64_t seed, int destinations,
-                       int number)
+SoakClient::SoakClient(int node, const std::atomic<std::uint16_t>& port, std::uint64_t seed,
+                       const Messages& messages, int number)
     : node_(node),
       port_(port),
-      destinations_(destinations),
+      messages_(messages),
       number_(number),
       random_(Stream(seed, fmt::format("client {} {}", node, number))) {}
 
@@ -90,17 +71,19 @@
 bool SoakClient::Connect() {
   if (socket_.get() >= 0) return true;
   const std::uint16_t port = port_;
-  if (port != 0) socket_ = ConnectTo(port);
+  if (port != 0) socket_ = ConnectToLoopback(port);
   requests_on_connection_ = 0;
   return socket_.get() >= 0;
 }
 
 std::string SoakClient::RequestText(const std::string& id, Idempotency idempotency) {
-  const int destination = boost::random::uniform_int_distribution<int>(0, destinations_ - 1)(random_);
+  const int destination =
+      boost::random::uniform_int_distribution<int>(0, messages_.destinations - 1)(random_);
   return fmt::format(
       "POST /{0} HTTP/1.1\r\nHost: soak\r\nX-Request-Id: {1}\r\nX-Class: {0}\r\nX-Deadline: {2}m\r\n"
-      "Idempotency-Key: key-{1}\r\nX-Envelope: dest={3}\r\nContent-Length: 2\r\n\r\nok",
-      kClassNames.at(static_cast<std::size_t>(idempotency)), id, kMessageDeadlineMs, destination);
+      "Idempotency-Key: key-{1}\r\nX-Envelope: dest={3}\r\nContent-Length: {4}\r\n\r\n{5}",
+      kClassNames.at(static_cast<std::size_t>(idempotency)), id, kMessageDeadlineMs, destination,
+      messages_.body_bytes, std::string(messages_.body_bytes, 'b'));
 }
 
 void SoakClient::Run(const std::atomic<bool>& stop) {
@@ -169,23 +152,4 @@
   if (received.find("Connection: close") != std::string::npos) socket_ = FileDescriptor();
 }
 
-void HoldHalfRequests(const std::atomic<std::uint16_t>& port, int connections,
-                      const std::atomic<bool>& stop) {
-  static constexpr std::string_view kHalfRequest = "POST /aviso HTTP/1.1\r\nHost: so";
-  std::vector<FileDescriptor> sockets(static_cast<std::size_t>(connections));
-  while (!stop) {
-    for (FileDescriptor& socket : sockets) {
-      char byte = 0;
-      const bool is_closed = socket.get() < 0 || ::recv(socket.get(), &byte, 1, MSG_DONTWAIT) >= 0 ||
-                             (errno != EAGAIN && errno != EINTR);
-      if (!is_closed) continue;
-      socket = port != 0 ? ConnectTo(port) : FileDescriptor();
-      if (socket.get() < 0) break;
-      [[maybe_unused]] const auto sent =
-          ::send(socket.get(), kHalfRequest.data(), kHalfRequest.size(), MSG_NOSIGNAL);
-    }
-    std::this_thread::sleep_for(kReconnectInterval);
-  }
-}
-
 }  // namespace sagetally::loadtest
--- a/src/loadtest/soak/soak_client.h
+++ b/src/loadtest/soak/soak_client.h
@@ -1,10 +1,11 @@
-// The clients of a soak run. A SoakClient submits messages to one dispatcher process over a blocking socket,
-// one request at a time, and records the outcome of each request. HoldHalfRequests() occupies connections
-// with incomplete requests. The soak runner starts each on a thread of its own.
+// The sound clients of a soak run. A SoakClient submits messages to one dispatcher process over a blocking
+// socket, one request at a time, and records the outcome of each request. The soak runner starts each on a
+// thread of its own.
 #ifndef SAGETALLY_SRC_LOADTEST_SOAK_SOAK_CLIENT_H_
 #define SAGETALLY_SRC_LOADTEST_SOAK_SOAK_CLIENT_H_
 
 #include <atomic>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -52,10 +53,15 @@
 // Submits messages to one node. Not thread-safe: Run() and records() must not overlap.
 class SoakClient {
  public:
+  // The messages that a client submits.
+  struct Messages {
+    int destinations = 1;        // they go to the first of the partners' destinations
+    std::size_t body_bytes = 2;  // length of each body
+  };
+
   // `port` is the node's current port, or 0 while the node is down. It changes during the run and must
-  // outlive the client. `seed` and `destinations` are those of the schedule, `number` the client's number
-  // among those of the node.
-  SoakClient(int node, const std::atomic<std::uint16_t>& port, std::uint64_t seed, int destinations,
+  // outlive the client. `seed` is that of the schedule, `number` the client's number among those of the node.
+  SoakClient(int node, const std::atomic<std::uint16_t>& port, std::uint64_t seed, const Messages& messages,
              int number);
 
   // Submits messages until `stop` is true. Blocks, so it is called on a thread of its own.
@@ -81,7 +87,7 @@
 
   const int node_;
   const std::atomic<std::uint16_t>& port_;
-  const int destinations_;
+  const Messages messages_;
   const int number_;
   Random random_;
   FileDescriptor socket_;
@@ -90,10 +96,6 @@
   std::vector<RequestRecord> records_;
 };
 
-// Holds `connections` connections to `port` open, each with half of a first request sent, and replaces each
-// connection that the node closes. Blocks until `stop` is true. While `port` is 0, no connection is opened.
-void HoldHalfRequests(const std::atomic<std::uint16_t>& port, int connections, const std::atomic<bool>& stop);
-
 }  // namespace sagetally::loadtest
 
 #endif  // SAGETALLY_SRC_LOADTEST_SOAK_SOAK_CLIENT_H_
--- a/src/loadtest/soak/soak_run.cpp
+++ b/src/loadtest/soak/soak_run.cpp
@@ -5,7 +5,6 @@
 #include <array>
 #include <atomic>
 #include <chrono>
-#include <csignal>
 #include <deque>
 #include <filesystem>
 #include <fstream>
@@ -16,9 +15,10 @@
 #include <thread>
 
 #include "loadtest/clock.h"
-#include "loadtest/demo/child.h"
 #include "loadtest/demo/demo_config.h"
 #include "loadtest/proxy/proxy_thread.h"
+#include "loadtest/soak/crowd.h"
+#include "loadtest/soak/soak_node.h"
 #include "loadtest/stub/stub_server_thread.h"
 
 namespace sagetally::loadtest {
@@ -28,160 +28,11 @@
 using std::chrono::milliseconds;
 using Json = nlohmann::json;
 
-constexpr std::int64_t kTerminationTimeoutUs = 3'700'000;  // from SIGTERM to SIGKILL
-constexpr std::int64_t kRestartDelayUs = 600'000;          // from a process's exit to its next start
-constexpr std::int64_t kPauseDurationUs = 150'000;         // from SIGSTOP to SIGCONT
 constexpr const char* kWaitNotKeptRule = "wait not kept";  // the checker's name of the rule
-constexpr auto kStepInterval = milliseconds(5);
-constexpr auto kReadyTimeout = std::chrono::seconds(20);
 // How long the nodes run on after the last submission. It covers the message's deadline of 4 s, the time that
 // a restarted node needs to report an undelivered message, and a margin.
 constexpr double kDrainSeconds = 8;
 
-// One dispatcher process of the run: applies its faults, restarts it, and records its down times. Used by the
-// runner's thread only, except port(), which the clients read.
-class SoakNode {
- public:
-  SoakNode(int number, const SoakSchedule& schedule, const SoakOptions& options,
-           const StubServerThread& stubs, const std::string& folder)
-      : number_(number), schedule_(schedule), options_(options), folder_(folder) {
-    const std::string name = fmt::format("n{}", number);
-    Json config = DemoPlatformConfigJson(name, stubs, fmt::format("{}/{}", folder, name), true);
-    config["limits"]["sockets"] = schedule.descriptor_limit;
-    config["settings"]["params"]["caps"]["mostHeld"] = schedule.max_pending;
-    fs::create_directories(config.at("state").get<std::string>());
-    std::ofstream(ConfigPath()) << config.dump(1);
-    Start();
-  }
-
-  const std::atomic<std::uint16_t>& port() const { return port_; }
-  const std::vector<DownTime>& down_times() const { return down_times_; }
-  std::vector<SoakViolation> violations;
-
-  // Injects the fault, unless the process isn't running. A process that has been sent SIGTERM gets further
-  // signals too, but is killed no earlier for that.
-  void Apply(NodeFault fault) {
-    if (!process_->Running()) return;
-    switch (fault) {
-      case NodeFault::kRestart:
-        process_->Signal(SIGTERM);
-        if (terminated_us_ == 0) terminated_us_ = NowUs();
-        return;
-      case NodeFault::kKill:
-        if (terminated_us_ == 0) Kill();
-        return;
-      case NodeFault::kReload:
-        process_->Signal(SIGHUP);
-        return;
-      case NodeFault::kPause:
-        if (terminated_us_ != 0) return;
-        process_->Signal(SIGSTOP);
-        paused_us_ = NowUs();
-        return;
-    }
-  }
-
-  // Continues, kills or starts the process where that is due, and notices an exit or readiness. Called every
-  // kStepInterval.
-  void Step() {
-    const std::int64_t now = NowUs();
-    if (paused_us_ != 0 && now >= paused_us_ + kPauseDurationUs) {
-      process_->Signal(SIGCONT);
-      paused_us_ = 0;
-    }
-    if (terminated_us_ != 0 && now >= terminated_us_ + kTerminationTimeoutUs) Kill();
-    if (terminated_us_ != 0 && !process_->Running()) OnExit();
-    if (start_at_us_ != 0 && now >= start_at_us_) Start();
-    if (port_ == 0 && start_at_us_ == 0) CheckReady();
-  }
-
-  // Sends SIGTERM at the end of the run, after SIGCONT if the process is paused. Doesn't wait for the exit.
-  void Stop() {
-    if (paused_us_ != 0) process_->Signal(SIGCONT);
-    process_->Signal(SIGTERM);
-  }
-  bool Running() const { return process_->Running(); }
-  // Throws std::runtime_error if the node isn't ready within kReadyTimeout.
-  void AwaitReady() {
-    const auto deadline = std::chrono::steady_clock::now() + kReadyTimeout;
-    while (port_ == 0) {
-      if (std::chrono::steady_clock::now() > deadline) {
-        throw std::runtime_error(fmt::format("node {} was not ready in time; see {}", number_, LogPath()));
-      }
-      std::this_thread::sleep_for(kStepInterval);
-      Step();
-    }
-  }
-
- private:
-  std::string ConfigPath() const { return fmt::format("{}/n{}.json", folder_, number_); }
-  std::string LogPath() const { return fmt::format("{}/n{}-{}.log", folder_, number_, starts_); }
-
-  void Start() {
-    ++starts_;
-    start_at_us_ = 0;
-    std::vector<std::string> command;
-    if (!schedule_.call_faults.empty()) {
-      command = {"env", "LD_PRELOAD=" + options_.shim,
-                 fmt::format("SAGETALLY_FAULTS={},after=0.5,seed={}", schedule_.call_faults, schedule_.seed),
-                 fmt::format("SAGETALLY_FAULT_LOG={}/faults.log", folder_)};
-    }
-    command.insert(command.end(),
-                   {options_.program, "serve", "--log-level", "debug", "--config", ConfigPath()});
-    process_ = std::make_unique<Child>(command, "", LogPath());
-    started_us_ = NowUs();
-  }
-
-  void CheckReady() {
-    if (const auto port = ReadyPort(process_->log())) {
-      port_ = *port;
-      if (!down_times_.empty()) down_times_.back().until_us = NowUs();
-    } else if (!process_->Running()) {
-      throw std::runtime_error(fmt::format("node {} exited before it was ready; see {}", number_, LogPath()));
-    }
-  }
-
-  void Kill() {
-    process_->Signal(SIGKILL);
-    process_->Wait();
-    BeginDownTime();
-  }
-
-  // Handles the exit of the process after SIGTERM. The node is restarted later, as after a kill. An exit code
-  // other than 0 is a violation.
-  void OnExit() {
-    const int code = process_->Wait();
-    if (code != 0)
-      violations.push_back(
-          {"exit", "", fmt::format("node {} exited with code {} after SIGTERM", number_, code)});
-    BeginDownTime();
-  }
-
-  // Records the time around an exit in which a connection of the node may close without a response. The down
-  // time begins two steps (10 ms) before now, because a request that is sent while the process exits meets a
-  // connection reset and the exit is noticed only in a later step. A request that the node had read is
-  // excused by a kill only: between SIGTERM and the exit, the node must respond to it.
-  void BeginDownTime() {
-    const std::int64_t now = NowUs();
-    port_ = 0;
-    terminated_us_ = 0;
-    paused_us_ = 0;
-    start_at_us_ = now + kRestartDelayUs;
-    down_times_.push_back(
-        {number_, now - 2 * static_cast<std::int64_t>(kStepInterval.count()) * 1000, now + kRestartDelayUs});
-  }
-
-  const int number_;
-  const SoakSchedule& schedule_;
-  const SoakOptions& options_;
-  const std::string folder_;
-  std::unique_ptr<Child> process_;
-  std::atomic<std::uint16_t> port_{0};
-  int starts_ = 0;
-  std::int64_t started_us_ = 0, terminated_us_ = 0, paused_us_ = 0, start_at_us_ = 0;
-  std::vector<DownTime> down_times_;
-};
-
 // Identifies a call at a partner for the checker: the message by its request id, the dispatcher by the node
 // number in that id.
 Identity IdentifyBySoakRequestId(const Call& call) {
@@ -302,16 +153,24 @@
   }
   std::vector<SoakViolation> Violations() const {
     std::vector<SoakViolation> all;
-    for (const auto& node : nodes_) all.insert(all.end(), node->violations.begin(), node->violations.end());
+    for (const auto& node : nodes_) {
+      all.insert(all.end(), node->violations().begin(), node->violations().end());
+    }
     return all;
   }
+  // The largest resident memory that a process had.
+  std::int64_t PeakMemoryBytes() const {
+    std::int64_t peak = 0;
+    for (const auto& node : nodes_) peak = std::max(peak, node->peak_memory_bytes());
+    return peak;
+  }
 
  private:
   bool IsInterrupted() const { return options_.stop && options_.stop(); }
 
   void Step() {
     for (const auto& node : nodes_) node->Step();
-    std::this_thread::sleep_for(kStepInterval);
+    std::this_thread::sleep_for(SoakNode::kStepInterval);
   }
 
   void StartClients() {
@@ -320,16 +179,21 @@
       const auto node = static_cast<std::size_t>(i);
       const auto& port = client_proxies_ ? client_proxies_->port(node) : nodes_[node]->port();
       for (int c = 0; c < schedule_.clients_per_node; ++c) {
-        clients_.push_back(std::make_unique<SoakClient>(i, port, schedule_.seed, schedule_.destinations, c));
+        const SoakClient::Messages messages = {schedule_.destinations, schedule_.body_bytes};
+        clients_.push_back(std::make_unique<SoakClient>(i, port, schedule_.seed, messages, c));
         threads_.emplace_back([this, client = clients_.back().get()] { client->Run(stop_); });
       }
-      if (schedule_.half_request_connections > 0) {
-        threads_.emplace_back(
-            [this, &port] { HoldHalfRequests(port, schedule_.half_request_connections, stop_); });
-      }
+      StartCrowd(nodes_[node]->port());
+      if (schedule_.has_cloudevents) StartCrowd(nodes_[node]->cloudevents_port());
     }
   }
 
+  void StartCrowd(const std::atomic<std::uint16_t>& port) {
+    if (schedule_.crowd.connections == 0) return;
+    crowds_.push_back(std::make_unique<Crowd>(port, schedule_.crowd, schedule_.seed + crowds_.size()));
+    threads_.emplace_back([this, crowd = crowds_.back().get()] { crowd->Run(stop_); });
+  }
+
   void StartClientProxies() {
     std::vector<const std::atomic<std::uint16_t>*> ports;
     for (const auto& node : nodes_) ports.push_back(&node->port());
@@ -349,11 +213,14 @@
   void Drain() {
     const std::int64_t until = NowUs() + static_cast<std::int64_t>(kDrainSeconds * 1e6);
     while (NowUs() < until && !IsInterrupted()) Step();
+    if (!IsInterrupted()) {
+      for (const auto& node : nodes_) node->CheckMemoryReturned();
+    }
     for (const auto& node : nodes_) node->Stop();
-    const std::int64_t stop_until = NowUs() + kTerminationTimeoutUs;
+    const std::int64_t stop_until = NowUs() + SoakNode::kTerminationTimeoutUs;
     while (NowUs() < stop_until &&
            std::ranges::any_of(nodes_, [](const auto& node) { return node->Running(); })) {
-      std::this_thread::sleep_for(kStepInterval);
+      std::this_thread::sleep_for(SoakNode::kStepInterval);
     }
   }
 
@@ -362,6 +229,7 @@
   std::vector<std::unique_ptr<SoakNode>> nodes_;
   std::unique_ptr<ProxyThread> client_proxies_;  // null if there are no faults on the clients' paths
   std::vector<std::unique_ptr<SoakClient>> clients_;
+  std::vector<std::unique_ptr<Crowd>> crowds_;
   std::vector<std::thread> threads_;
   std::atomic<bool> stop_{false};
 };
@@ -412,6 +280,7 @@
   result.answered = std::ranges::count(requests, RequestOutcome::kAnswered, &RequestRecord::outcome);
   result.violations = FindViolations(requests, stubs.Observations(), fleet.DownTimes());
   for (const SoakViolation& node_violation : fleet.Violations()) result.violations.push_back(node_violation);
+  result.peak_memory_bytes = fleet.PeakMemoryBytes();
   result.client_path = fleet.StopClientProxies();
   const StubServerSet& servers = stubs.Stop();
   for (const Violation& violation : servers.checker.violations()) {
--- a/src/loadtest/soak/soak_run.h
+++ b/src/loadtest/soak/soak_run.h
@@ -26,9 +26,10 @@
 inline constexpr std::int64_t kMinFaults = 3;
 
 struct SoakResult {
-  std::int64_t requests = 0;         // written in full by the clients
-  std::int64_t answered = 0;         // of these, those with a complete response
-  std::int64_t injected_faults = 0;  // system call faults that the shim injected
+  std::int64_t requests = 0;           // written in full by the clients
+  std::int64_t answered = 0;           // of these, those with a complete response
+  std::int64_t injected_faults = 0;    // system call faults that the shim injected
+  std::int64_t peak_memory_bytes = 0;  // the largest resident memory that a dispatcher process had
   // What the proxies on the paths of the clients, to the partners and to the agent have recorded.
   ProxyRecord client_path;
   ProxyRecord partner_path;
--- a/src/loadtest/soak/soak_schedule.cpp
+++ b/src/loadtest/soak/soak_schedule.cpp
@@ -16,9 +16,8 @@
 using Json = nlohmann::json;
 
 constexpr int kMaxNodes = 4;
-// Fraction of the runs in which connections with half a request are held, and fraction with system call
-// faults.
-constexpr double kHalfRequestRunFraction = 0.35;
+// Fraction of the runs with a crowd, and with system call faults.
+constexpr double kCrowdRunFraction = 0.35;
 constexpr double kCallFaultRunFraction = 0.7;
 // Fraction of the runs in which a path has faults, and the probability of each of its faults then.
 constexpr double kPathFaultRunFraction = 0.7;
@@ -26,9 +25,12 @@
 // Probability that a signal is followed by another one, and the longest time between them.
 constexpr double kSignalSeriesChance = 0.5;
 constexpr double kMaxSignalIntervalMs = 600;
-// Descriptor limit of each node in a run with half requests, and in other runs.
-constexpr int kHalfRequestRunDescriptors = 256;
+// Descriptor limit of each node in a run with a crowd (in some of them, see DrawMemoryAndCrowd), and in
+// others.
+constexpr int kCrowdRunDescriptors = 256;
 constexpr int kDefaultDescriptors = 1024;
+// The least memory limit of a deployment, which half of the runs have.
+constexpr double kLeastMemoryMegabytes = 32;
 
 // Names in schedule files, indexed by NodeFault.
 constexpr std::array<const char*, 4> kNodeFaultNames = {"restart", "kill", "reload", "pause"};
@@ -112,6 +114,23 @@
   return events;
 }
 
+// Half of the runs have the least memory. Half of the crowds send more than half heads, and some of those are
+// larger, at nodes with more descriptors. Drawn last, so that each seed's other faults stay as they were.
+void DrawMemoryAndCrowd(Draws& draws, SoakSchedule& schedule) {
+  if (draws.Chance(0.5)) schedule.memory_mb = kLeastMemoryMegabytes;
+  if (schedule.crowd.connections == 0 || draws.Chance(0.5)) return;
+  schedule.has_cloudevents = draws.Chance(0.5);
+  if (draws.Chance(0.5)) {
+    schedule.crowd.connections = 400;
+    schedule.descriptor_limit = kDefaultDescriptors;
+  }
+  schedule.crowd.behaviors.clear();
+  for (int i = 0; i < 3; ++i) {
+    const int last = static_cast<int>(CrowdBehavior::kUnreadResponses);
+    schedule.crowd.behaviors.push_back(static_cast<CrowdBehavior>(draws.Integer(0, last)));
+  }
+}
+
 // A fault that a run may draw for a path, with the largest share and delay.
 struct DrawnPathFault {
   PathFault fault = PathFault::kRepeatedAnswer;
@@ -191,13 +210,25 @@
   return static_cast<NodeFault>(found - kNodeFaultNames.begin());
 }
 
+std::vector<CrowdBehavior> CrowdBehaviorsFromJson(const Json& json) {
+  std::vector<CrowdBehavior> behaviors;
+  for (const auto& name : Get<std::vector<std::string>>(json, "crowd_behaviors")) {
+    const std::optional<CrowdBehavior> behavior = CrowdBehaviorFromName(name);
+    if (!behavior) throw std::runtime_error("/crowd_behaviors: there is no behavior " + name);
+    behaviors.push_back(*behavior);
+  }
+  if (behaviors.empty()) throw std::runtime_error("/crowd_behaviors: expected one at least");
+  return behaviors;
+}
+
 SoakSchedule FromJson(const Json& json) {
   SoakSchedule schedule;
   schedule.seed = Get<std::uint64_t>(json, "seed");
   schedule.seconds = Get<double>(json, "seconds");
   schedule.nodes = Get<int>(json, "nodes");
   schedule.clients_per_node = Get<int>(json, "clients_per_node");
-  schedule.half_request_connections = Get<int>(json, "crowd");
+  schedule.crowd.connections = Get<int>(json, "crowd");
+  if (json.contains("crowd_behaviors")) schedule.crowd.behaviors = CrowdBehaviorsFromJson(json);
   schedule.descriptor_limit = Get<int>(json, "sockets");
   schedule.call_faults = Get<std::string>(json, "call_faults");
   for (const Json& event : Get<Json>(json, "node_faults")) {
@@ -210,6 +241,9 @@
                                        Get<double>(event, "share")});
   }
   schedule.max_pending = json.value("max_pending", schedule.max_pending);
+  schedule.memory_mb = json.value("memory_mb", schedule.memory_mb);
+  schedule.has_cloudevents = json.value("cloudevents", schedule.has_cloudevents);
+  schedule.body_bytes = json.value("body_bytes", schedule.body_bytes);
   schedule.destinations = json.value("destinations", schedule.destinations);
   schedule.partner_min_ms = json.value("partner_min_ms", 0.0);
   schedule.partner_max_ms = json.value("partner_max_ms", 0.0);
@@ -227,15 +261,16 @@
   schedule.seed = seed;
   schedule.nodes = draws.Integer(1, kMaxNodes);
   schedule.clients_per_node = draws.Integer(5, 10);
-  const bool has_half_requests = draws.Chance(kHalfRequestRunFraction);
-  schedule.half_request_connections = has_half_requests ? draws.Integer(100, 200) : 0;
-  schedule.descriptor_limit = has_half_requests ? kHalfRequestRunDescriptors : kDefaultDescriptors;
+  const bool has_crowd = draws.Chance(kCrowdRunFraction);
+  schedule.crowd.connections = has_crowd ? draws.Integer(100, 200) : 0;
+  schedule.descriptor_limit = has_crowd ? kCrowdRunDescriptors : kDefaultDescriptors;
   schedule.call_faults = DrawCallFaults(draws);
   schedule.node_faults = DrawNodeFaults(draws, schedule);
   schedule.partner_faults = DrawPartnerFaults(draws, schedule);
   schedule.client_path = DrawPathFaults(draws, seed, kClientPathFaults);
   schedule.partner_path = DrawPathFaults(draws, seed, kPartnerPathFaults);
   schedule.agent_path = DrawPathFaults(draws, seed, kAgentPathFaults);
+  DrawMemoryAndCrowd(draws, schedule);
   return schedule;
 }
 
@@ -254,11 +289,17 @@
                               {"destination", event.destination},
                               {"share", event.share}});
   }
+  Json behaviors = Json::array();
+  for (const CrowdBehavior behavior : schedule.crowd.behaviors) behaviors.push_back(ToString(behavior));
   return {{"seed", schedule.seed},
           {"seconds", schedule.seconds},
           {"nodes", schedule.nodes},
           {"clients_per_node", schedule.clients_per_node},
-          {"crowd", schedule.half_request_connections},
+          {"body_bytes", schedule.body_bytes},
+          {"crowd", schedule.crowd.connections},
+          {"crowd_behaviors", behaviors},
+          {"cloudevents", schedule.has_cloudevents},
+          {"memory_mb", schedule.memory_mb},
           {"sockets", schedule.descriptor_limit},
           {"max_pending", schedule.max_pending},
           {"call_faults", schedule.call_faults},
--- a/src/loadtest/soak/soak_schedule.h
+++ b/src/loadtest/soak/soak_schedule.h
@@ -4,6 +4,7 @@
 #ifndef SAGETALLY_SRC_LOADTEST_SOAK_SOAK_SCHEDULE_H_
 #define SAGETALLY_SRC_LOADTEST_SOAK_SOAK_SCHEDULE_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -11,6 +12,7 @@
 
 #include "loadtest/demo/demo_config.h"
 #include "loadtest/proxy/path_faults.h"
+#include "loadtest/soak/crowd.h"
 
 namespace sagetally::loadtest {
 
@@ -43,9 +45,12 @@
   double seconds = 10;  // how long messages are submitted
   int nodes = 1;        // dispatcher processes
   int clients_per_node = 4;
-  int half_request_connections = 0;  // connections to each node that send only half of a first request
-  int descriptor_limit = 256;        // limit of each node's descriptors in its configuration
-  int max_pending = 800;             // messages that each node holds at most
+  std::size_t body_bytes = 2;    // length of the body of each message
+  CrowdSettings crowd;           // hostile clients of each port of each node
+  bool has_cloudevents = false;  // the nodes have a port for CloudEvents, too
+  int descriptor_limit = 256;    // limit of each node's descriptors in its configuration
+  double memory_mb = 192;        // limit of each node's memory, which the runner enforces
+  int max_pending = 800;         // messages that each node holds at most
   std::string call_faults;  // the fault shim's specification of system call faults; empty if there are none
   std::vector<NodeFaultEvent> node_faults;  // in order of time
   std::vector<PartnerFaultEvent> partner_faults;
