Metrics and log: memory in use by consumer, resident size, evictions, bytes held at a close

Cause: when a process passed its memory limit, no line and no metric said how much was in use, by whom, or why a client's connection gave way. Connections and messages now report what they hold to accounts (MemoryAccount, ClientMemory); nothing is limited yet. New: balancer.memory.resident_bytes, .used_bytes.CONSUMER, .limit_bytes.CONSUMER, balancer.evicted_clients.REASON, and 'held' in client.closed.

--- a/src/admin/metrics.cpp
+++ b/src/admin/metrics.cpp
@@ -19,6 +19,10 @@
 constexpr const char* kInProgressName = "in_progress";
 constexpr const char* kKnownEndpointsName = "known_endpoints";
 constexpr const char* kAvoidedEndpointsName = "skipped_endpoints";
+constexpr const char* kResidentBytesName = "memory.resident_bytes";
+constexpr const char* kUsedBytesName = "memory.used_bytes";
+constexpr const char* kLimitBytesName = "memory.limit_bytes";
+constexpr const char* kEvictionsName = "evicted_clients";
 
 void AppendClassCounter(std::string& text, const char* name, const std::string& class_name,
                         std::uint64_t value) {
@@ -33,6 +37,10 @@
   fmt::format_to(std::back_inserter(text), "balancer.{}:{}|g\n", name, value);
 }
 
+void AppendNamedGauge(std::string& text, const char* name, const std::string& consumer, std::size_t value) {
+  fmt::format_to(std::back_inserter(text), "balancer.{}.{}:{}|g\n", name, consumer, value);
+}
+
 }  // namespace
 
 Metrics::ClassCounts* Metrics::FindCounts(int message_class) {
@@ -85,6 +93,12 @@
   if (unexpected_responses_ > 0) AppendCounter(text, kUnexpectedResponsesName, unexpected_responses_);
   if (revoked_deliveries_ > 0) AppendCounter(text, kRevokedDeliveriesName, revoked_deliveries_);
   if (rejected_notifications_ > 0) AppendCounter(text, kRejectedNotificationsName, rejected_notifications_);
+  if (gauges.resident_bytes > 0) AppendGauge(text, kResidentBytesName, gauges.resident_bytes);
+  for (const MemoryGauge& memory : gauges.memory) {
+    AppendNamedGauge(text, kUsedBytesName, memory.consumer, memory.used_bytes);
+    AppendNamedGauge(text, kLimitBytesName, memory.consumer, memory.limit_bytes);
+  }
+  for (const auto& [reason, count] : evictions_) AppendClassCounter(text, kEvictionsName, reason, count);
   return text;
 }
 
--- a/src/admin/metrics.h
+++ b/src/admin/metrics.h
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -13,11 +14,20 @@
 
 namespace sagetally {
 
+// The memory that one consumer holds, and its share of the limit.
+struct MemoryGauge {
+  std::string consumer;
+  std::size_t used_bytes = 0;
+  std::size_t limit_bytes = 0;
+};
+
 // Gauges. The caller samples their values when the metrics are read.
 struct GaugeValues {
   std::size_t in_progress = 0;        // accepted and not completed messages, including an earlier process's
   std::size_t known_endpoints = 0;    // endpoints in the endpoint list, including draining ones
   std::size_t avoided_endpoints = 0;  // known endpoints that are draining or ejected
+  std::size_t resident_bytes = 0;     // memory of the process as the system counts it
+  std::vector<MemoryGauge> memory = {};
 };
 
 // Counts completed messages by class, and the attempts of all classes together.
@@ -46,8 +56,11 @@
   // Counts a batch of notifications whose content its receiver rejected.
   void RecordRejectedNotifications() { ++rejected_notifications_; }
 
-  // Returns the counters and gauges, and of verified and unexpected responses, revoked deliveries and
-  // rejected notifications those above 0, in the statsd line format, for example
+  // Counts a client's connection that was closed for `reason`, a name that the log uses too.
+  void RecordEviction(const std::string& reason) { ++evictions_[reason]; }
+
+  // Returns the counters and gauges, and of memory, evictions, verified and unexpected responses, revoked
+  // deliveries and rejected notifications those above 0, in the statsd line format, for example
   // "balancer.passed.aviso:812|c" and "balancer.in_progress:14|g".
   std::string FormatStatsd(const GaugeValues& gauges) const;
 
@@ -68,6 +81,7 @@
   std::uint64_t unexpected_responses_ = 0;
   std::uint64_t revoked_deliveries_ = 0;
   std::uint64_t rejected_notifications_ = 0;
+  std::map<std::string, std::uint64_t> evictions_;  // by reason
 };
 
 }  // namespace sagetally
--- a/src/app/client_servers.cpp
+++ b/src/app/client_servers.cpp
@@ -27,7 +27,7 @@
           request_log_.OnRequest(*exchange);
           platform_frontend_.Handle(exchange);
         },
-        received != nullptr ? std::move(received->platform_listener) : FileDescriptor());
+        received != nullptr ? std::move(received->platform_listener) : FileDescriptor(), &memory_);
     request_log_.Observe(*platform_server_);
   }
   if (node_file_.cloudevents) {
@@ -39,7 +39,7 @@
           request_log_.OnRequest(*exchange);
           cloudevents_frontend_.Handle(exchange);
         },
-        received != nullptr ? std::move(received->cloudevents_listener) : FileDescriptor());
+        received != nullptr ? std::move(received->cloudevents_listener) : FileDescriptor(), &memory_);
     request_log_.Observe(*cloudevents_server_);
     log_.Info("cloudevents.ready",
               {{"host", node_file_.cloudevents->listen.host}, {"port", cloudevents_server_->port()}});
--- a/src/app/client_servers.h
+++ b/src/app/client_servers.h
@@ -48,6 +48,9 @@
   }
   std::size_t connections() const;
 
+  // The memory that the clients' connections hold.
+  const MemoryAccount& memory() const { return memory_.account(); }
+
   // Returns whether every request that has been read has its response, and every response has been written.
   bool HasNoPendingResponse() const;
   // Sets whether each response from now on is the last one on its connection.
@@ -59,6 +62,10 @@
   void CloseUnusedConnections();
   // Stops listening, and does the same as CloseIdleConnections().
   void StopListening();
+  // Sets a callback that runs when a connection is closed to make room, with the reason as the log names it.
+  void SetOnEvicted(std::function<void(const std::string& reason)> on_evicted) {
+    request_log_.on_evicted = std::move(on_evicted);
+  }
   // Sets a callback that runs after each connection that is closed.
   void SetOnClosed(const std::function<void()>& on_closed);
 
@@ -76,6 +83,7 @@
   const Config& config_;
   const NodeFile& node_file_;
   RequestLog request_log_;
+  ClientMemory memory_;
   PlatformFrontend platform_frontend_;
   CloudEventsFrontend cloudevents_frontend_;
   std::unique_ptr<HttpServer> platform_server_;
--- a/src/app/dispatcher.cpp
+++ b/src/app/dispatcher.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "app/node_capabilities.h"
+#include "base/process_memory.h"
 #include "frontend/cloudevents/cloudevents_frontend.h"
 
 namespace sagetally {
@@ -64,6 +65,7 @@
   request_log_.Observe(endpoint_pool_, messages_, [this] { metrics_.RecordUnexpectedResponse(); });
   platform_notifications_.on_rejected = [this] { metrics_.RecordRejectedNotifications(); };
   if (result_events_) result_events_->on_rejected = platform_notifications_.on_rejected;
+  client_servers_.SetOnEvicted([this](const std::string& reason) { metrics_.RecordEviction(reason); });
   readiness_.can_record = [this] { return journal_.journal().is_writable(); };
   pipeline_.admission_controller.is_accepting = [this] { return readiness_.IsAccepting(clock_.Now()); };
 }
@@ -217,8 +219,12 @@
 }
 
 GaugeValues Dispatcher::Gauges() const {
-  return {PendingMessages(), pipeline_.router.known_endpoint_count(),
-          pipeline_.router.avoided_endpoint_count()};
+  GaugeValues gauges{PendingMessages(), pipeline_.router.known_endpoint_count(),
+                     pipeline_.router.avoided_endpoint_count(), ResidentBytes()};
+  const MemoryAccount& clients = client_servers_.memory();
+  gauges.memory.push_back({"clients", clients.used(), clients.limit()});
+  gauges.memory.push_back({"messages", messages_.memory().used(), messages_.memory().limit()});
+  return gauges;
 }
 
 bool Dispatcher::HasPendingWork() const {
--- a/src/app/request_log.cpp
+++ b/src/app/request_log.cpp
@@ -74,6 +74,10 @@
   return is_expected && !closed.has_open_request && closed.unwritten_bytes == 0;
 }
 
+bool IsEviction(HttpServer::CloseReason reason) {
+  return reason == HttpServer::CloseReason::kEvicted || reason == HttpServer::CloseReason::kEvictedInRequest;
+}
+
 std::int64_t ToMilliseconds(Duration duration) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
@@ -158,6 +162,7 @@
 }
 
 void RequestLog::OnConnectionClosed(const HttpServer::ClosedConnection& closed) {
+  if (IsEviction(closed.reason) && on_evicted) on_evicted(CloseReasonName(closed.reason));
   const LogLevel level = IsNormalClose(closed) ? LogLevel::kDebug : LogLevel::kInfo;
   if (!log_.IsEnabled(level)) return;
   log_.Write(level, "client.closed",
@@ -167,7 +172,8 @@
               {"requests", closed.request_count},
               {"unanswered", closed.has_open_request},
               {"unwritten", closed.unwritten_bytes},
-              {"unparsed", closed.unparsed_bytes}});
+              {"unparsed", closed.unparsed_bytes},
+              {"held", closed.held_bytes}});
 }
 
 void RequestLog::OnAttemptStarted(const Message& message, const CallRequest& call) {
--- a/src/app/request_log.h
+++ b/src/app/request_log.h
@@ -38,6 +38,9 @@
   void Observe(EndpointPool& pool, MessageTable& messages, std::function<void()> on_unexpected_response);
   // Logs that `message` has completed without being delivered.
   void OnUndelivered(const Message& message);
+  // Called with the reason, as the log names it, when a client's connection was closed to make room. May be
+  // empty.
+  std::function<void(const std::string& reason)> on_evicted;
 
  private:
   void OnResponse(const Exchange& exchange, int status, const std::string& body);
--- a/src/core/message_table.cpp
+++ b/src/core/message_table.cpp
@@ -21,12 +21,20 @@
 
 }  // namespace
 
+std::size_t MessageTable::MemoryOf(const Request& request) {
+  std::size_t size = kMessageBytes + request.id.size() + request.idempotency_key.size() + request.body.size();
+  for (const auto& [name, value] : request.attributes) size += name.size() + value.size();
+  return size;
+}
+
 Message& MessageTable::Add(Message message) {
   if (message.number == 0) message.number = next_number_;
   next_number_ = std::max(next_number_, message.number + 1);
   const std::uint64_t number = message.number;
   numbers_by_key_[MakeDeduplicationKey(message.request)] = number;
   if (IsPending(message)) ++pending_count_;
+  if (const Message* replaced = Find(number)) memory_.Remove(MemoryOf(replaced->request));
+  memory_.Add(MemoryOf(message.request));
   Message& added = messages_.insert_or_assign(number, std::move(message)).first->second;
   // Only the journal's replay adds messages that have completed already.
   if (!IsPending(added) && !added.dead_letter_pending) Retain(added);
@@ -78,6 +86,7 @@
     return;
   }
   if (IsRetainedAfterCompletion(message)) {
+    memory_.Remove(message.request.body.size());
     message.request.body = std::string();  // releases the memory of the body, which clear() would not do
     return;
   }
@@ -93,6 +102,7 @@
   if (key != numbers_by_key_.end() && key->second == number) numbers_by_key_.erase(key);
   if (IsPending(message)) --pending_count_;
   if (message.is_delivery_unconfirmed) --unconfirmed_count_;
+  memory_.Remove(MemoryOf(message.request));
   messages_.erase(found);
 }
 
--- a/src/core/message_table.h
+++ b/src/core/message_table.h
@@ -18,12 +18,19 @@
 #include <unordered_map>
 
 #include "core/id_history.h"
+#include "core/memory_account.h"
 #include "core/message.h"
 
 namespace sagetally {
 
 class MessageTable {
  public:
+  // What a message takes up beside the texts of its request: its entries here, in the policy, in the journal
+  // and in its calls.
+  static constexpr std::size_t kMessageBytes = 2048;
+  // Returns the memory that a message with this request takes up, in bytes.
+  static std::size_t MemoryOf(const Request& request);
+
   // Completed CloudEvents are retained for deduplication for this long, and at most this many of them.
   static constexpr Duration kDeduplicationWindow = std::chrono::minutes(5);
   static constexpr std::size_t kMaxRetainedMessages = 1500;
@@ -43,6 +50,9 @@
   int pending_count() const { return pending_count_; }
   // The number of pending messages whose delivery is unconfirmed.
   int unconfirmed_count() const { return unconfirmed_count_; }
+  // The memory that the messages take up.
+  MemoryAccount& memory() { return memory_; }
+  const MemoryAccount& memory() const { return memory_; }
   // The number of messages in the table.
   std::size_t size() const { return messages_.size(); }
   // All messages, by message number.
@@ -92,6 +102,7 @@
   std::unordered_map<std::string, std::uint64_t> numbers_by_key_;  // by MakeDeduplicationKey()
   std::deque<RetainedMessage> retained_;                           // oldest first
   IdHistory id_history_;
+  MemoryAccount memory_;
   std::uint64_t next_number_ = 1;
   int pending_count_ = 0;
   int unconfirmed_count_ = 0;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -65,9 +65,10 @@
 }  // namespace
 
 HttpServer::HttpServer(EventLoop& loop, const Address& address, Limits limits, Handler handler,
-                       FileDescriptor inherited)
+                       FileDescriptor inherited, ClientMemory* memory)
     : loop_(loop),
       limits_(limits),
+      memory_(memory != nullptr ? *memory : own_memory_),
       handler_(std::move(handler)),
       listener_(OpenListener(address, std::move(inherited))),
       port_(LocalPort(listener_descriptor())),
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -15,6 +15,7 @@
 
 #include "base/file_descriptor.h"
 #include "config/config.h"
+#include "net/client_memory.h"
 #include "net/deferred_deleter.h"
 #include "net/event_loop.h"
 #include "net/http_exchange.h"
@@ -46,6 +47,7 @@
     bool has_open_request = false;    // a request was read and not answered
     std::size_t unwritten_bytes = 0;  // of responses
     std::size_t unparsed_bytes = 0;   // of requests
+    std::size_t held_bytes = 0;       // of memory, as counted for the clients' share
   };
 
   // Answers the exchange now or later.
@@ -74,9 +76,11 @@
   };
 
   // Listens at `address`; port 0 selects a free port. `inherited` is a listening socket of another process,
-  // which is used instead of a new one if it listens at that address. Throws ListenError.
+  // which is used instead of a new one if it listens at that address. `memory` counts what the connections
+  // hold together with those of other servers and must outlive this one; null: a count of its own. Throws
+  // ListenError.
   HttpServer(EventLoop& loop, const Address& address, Limits limits, Handler handler,
-             FileDescriptor inherited = FileDescriptor());
+             FileDescriptor inherited = FileDescriptor(), ClientMemory* memory = nullptr);
   ~HttpServer();
 
   // The port that the listener is bound to.
@@ -130,6 +134,8 @@
 
   EventLoop& loop_;
   const Limits limits_;
+  ClientMemory own_memory_;
+  ClientMemory& memory_;
   Handler handler_;
   EventListenerPtr listener_;
   std::uint16_t port_ = 0;
--- a/src/net/request_reader.cpp
+++ b/src/net/request_reader.cpp
@@ -71,6 +71,13 @@
   return progress.available_bytes >= max_unparsed_bytes() ? Reject(kBadRequest) : Step::kBlocked;
 }
 
+std::size_t RequestReader::HeldBytes() const {
+  if (!parser_) return 0;
+  std::size_t size = consumed_bytes_.capacity() + parser_->get().body().capacity();
+  for (const auto& field : parser_->get()) size += MemoryOf(field);
+  return size;
+}
+
 RequestReader::HttpRequest RequestReader::TakeRequest() {
   HttpRequest request = parser_->release();
   Reset();
@@ -79,7 +86,7 @@
 
 void RequestReader::Reset() {
   parser_.reset();
-  consumed_bytes_.clear();
+  consumed_bytes_ = std::string();  // releases its memory, which clear() would not do
 }
 
 RequestReader::Step RequestReader::Reject(int status) {
--- a/src/net/request_reader.h
+++ b/src/net/request_reader.h
@@ -40,6 +40,12 @@
   bool is_reading() const { return parser_.has_value(); }
   // The bytes of the request being read that were removed from the buffer.
   const std::string& consumed_bytes() const { return consumed_bytes_; }
+  // The memory that the request being read takes up, in bytes, without what is still in the buffer.
+  std::size_t HeldBytes() const;
+  // The memory that a field of a head takes up, in bytes.
+  static std::size_t MemoryOf(const boost::beast::http::fields::value_type& field) {
+    return kFieldBytes + field.name_string().size() + field.value().size();
+  }
   // The HTTP status of the response to a rejected request.
   int rejection_status() const { return rejection_status_; }
 
@@ -52,6 +58,8 @@
 
  private:
   using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+  // What a field takes up beside its text: the parser's entry, and two strings in the list of headers.
+  static constexpr std::size_t kFieldBytes = 160;
 
   void StartRequest();
   Step Reject(int status);
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -31,6 +31,10 @@
 constexpr Duration kLastResponseTimeout = milliseconds(3000);  // for the client to read the last response
 constexpr std::size_t kDiscardBufferBytes = 4096;
 
+// The memory of a connection without its requests and responses, and of a block of libevent's buffers.
+constexpr std::size_t kConnectionBytes = 4096;
+constexpr std::size_t kBufferBlockBytes = 4096;
+
 constexpr int kNoContent = 204;
 constexpr int kBadRequest = 400;
 constexpr int kRequestTimeout = 408;
@@ -65,6 +69,18 @@
   return headers;
 }
 
+// Returns the memory that a buffer's bytes take up. The last of its blocks is not full.
+std::size_t MemoryOf(evbuffer* buffer) {
+  const std::size_t size = evbuffer_get_length(buffer);
+  return size == 0 ? 0 : size + kBufferBlockBytes;
+}
+
+std::size_t MemoryOf(const RequestReader::HttpRequest& request) {
+  std::size_t size = request.body().size();
+  for (const auto& field : request) size += RequestReader::MemoryOf(field);
+  return size;
+}
+
 std::string PathOf(const RequestReader::HttpRequest& request) {
   std::string path = ToString(request.target());
   path.resize(std::min(path.find('?'), path.size()));
@@ -89,6 +105,7 @@
   bufferevent_enable(buffers_.get(), EV_READ | EV_WRITE);
   timer_.Schedule(kFirstRequestTimeout);
   if (transferred != nullptr) ResumeTransferred(*transferred);
+  UpdateHeldBytes();
 }
 
 ServerConnection::~ServerConnection() { Close(HttpServer::CloseReason::kServerStopped); }
@@ -123,7 +140,9 @@
   }
   resumer_.Stop();
   buffers_.reset();
+  reader_.Reset();
   timer_.Stop();
+  server_.memory_.Update(std::exchange(held_bytes_, 0), 0);
 }
 
 HttpServer::ClosedConnection ServerConnection::Describe(HttpServer::CloseReason reason,
@@ -136,6 +155,7 @@
   closed.has_open_request = open_exchange() != nullptr;
   closed.unwritten_bytes = UnwrittenBytes();
   closed.unparsed_bytes = evbuffer_get_length(input());
+  closed.held_bytes = held_bytes_;
   return closed;
 }
 
@@ -180,6 +200,8 @@
   last_received_at_ = std::chrono::steady_clock::now();
   idle_since_ = last_received_at_;
   exchange_.reset();
+  open_request_bytes_ = 0;
+  UpdateHeldBytes();
   if (is_last) return CloseOnceWritten();
   timer_.Schedule(HasUnparsedBytes() ? kNextRequestTimeout : kIdleTimeout);
   if (HasUnparsedBytes()) ReadSoon();
@@ -188,6 +210,8 @@
 void ServerConnection::DropRequest(const Exchange& exchange) {
   if (server_.on_request_dropped) server_.on_request_dropped(exchange);
   exchange_.reset();
+  open_request_bytes_ = 0;
+  UpdateHeldBytes();
   EndBetweenRequests();
 }
 
@@ -274,6 +298,7 @@
   ++request_count_;
   timer_.Stop();
   keep_alive_ = request.keep_alive();
+  open_request_bytes_ = MemoryOf(request);
   auto exchange = std::make_shared<Exchange>(this, ToString(request.method_string()), PathOf(request),
                                              HeadersOf(request), std::move(request.body()));
   exchange->connection_number_ = number_;
@@ -336,7 +361,19 @@
   bufferevent_write(buffers_.get(), text.data(), text.size());
 }
 
-void ServerConnection::OnReadable(bufferevent*, void* self) { static_cast<ServerConnection*>(self)->Read(); }
+// Tells the server's ClientMemory what the connection holds now.
+void ServerConnection::UpdateHeldBytes() {
+  if (buffers_ == nullptr) return;
+  const std::size_t held =
+      kConnectionBytes + MemoryOf(input()) + MemoryOf(output()) + reader_.HeldBytes() + open_request_bytes_;
+  server_.memory_.Update(std::exchange(held_bytes_, held), held);
+}
+
+void ServerConnection::OnReadable(bufferevent*, void* self) {
+  auto* connection = static_cast<ServerConnection*>(self);
+  connection->Read();
+  connection->UpdateHeldBytes();
+}
 
 void ServerConnection::OnOutputDrained(bufferevent*, void* self) {
   auto* connection = static_cast<ServerConnection*>(self);
--- a/src/net/server_connection.h
+++ b/src/net/server_connection.h
@@ -65,6 +65,8 @@
   bool IsTransferable() const { return !is_closing_ && !client_has_ended_ && HasNoPendingResponse(); }
   // Returns the connection's state for the process that takes it over.
   HttpServer::ClientToTransfer DescribeForTransfer() const;
+  // The memory that the connection holds, in bytes.
+  std::size_t held_bytes() const { return held_bytes_; }
   // When bytes were received last or, if that is later, when the connection was accepted or last answered.
   std::chrono::steady_clock::time_point last_received_at() const { return last_received_at_; }
 
@@ -87,6 +89,7 @@
   void CloseOnceWritten();
   void ReadSoon();
   void Write(std::string_view text);
+  void UpdateHeldBytes();
   evbuffer* input() const { return bufferevent_get_input(buffers_.get()); }
   evbuffer* output() const { return bufferevent_get_output(buffers_.get()); }
   int socket() const { return bufferevent_getfd(buffers_.get()); }
@@ -108,6 +111,8 @@
   bool keep_alive_ = true;         // the open request allows further requests on the connection
   bool client_has_ended_ = false;  // the client has shut down its sending side
   std::uint64_t request_count_ = 0;
+  std::size_t open_request_bytes_ = 0;  // of the open exchange
+  std::size_t held_bytes_ = 0;          // as reported to the server's ClientMemory
   std::size_t discarded_bytes_ = 0;
   std::chrono::steady_clock::time_point write_deadline_;  // for writing the last response
   std::chrono::steady_clock::time_point idle_since_;      // when the connection was accepted or last answered
--- a/src/policy/endpoint_health.h
+++ b/src/policy/endpoint_health.h
@@ -130,7 +130,8 @@
   const bool is_slow = static_cast<double>(event.latency.count()) > 2 * usual;
   if (endpoint.idle_limit_before && (event.outcome != Outcome::kOk || is_slow)) {
     const Duration restored = std::max(*endpoint.idle_limit_before, limit);
-    // Without a limit since then, connections of any age have failed, and idle ones are not trusted for a while.
+    // Without a limit since then, connections of any age have failed, and idle ones are not trusted for a
+    // while.
     state.idle_limit.Set(restored == Duration::max() ? Duration(0) : restored, state.now);
   }
   endpoint.idle_limit_before.reset();
