--- a/src/loadtest/soak/soak_client.cpp
+++ b/src/loadtest/soak/soak_client.cpp
@@ -118,7 +118,7 @@
     socket_ = FileDescriptor();
     return false;
   }
-  ++requests_on_connection_;
+  record.is_first_on_connection = ++requests_on_connection_ == 1;
   AwaitResponse(record);
   record.ended_us = NowUs();
   records_.push_back(record);
--- a/src/loadtest/soak/soak_client.h
+++ b/src/loadtest/soak/soak_client.h
@@ -34,6 +34,7 @@
   RequestOutcome outcome = RequestOutcome::kAnswered;
   int status = 0;          // HTTP status; set for kAnswered only, otherwise 0
   bool is_resend = false;  // the same request as the record before it, on a new connection
+  bool is_first_on_connection = false;
 };
 
 // The parts of a request's id: where the message was submitted and which class it has.
--- a/src/loadtest/soak/soak_judge.cpp
+++ b/src/loadtest/soak/soak_judge.cpp
@@ -64,8 +64,42 @@
          request.outcome == RequestOutcome::kClosedOnLaterRequest;
 }
 
+// The requests on one kind of connection, and how many of them were answered.
+struct AnswerCount {
+  std::int64_t requests = 0;
+  std::int64_t answered = 0;
+
+  bool IsBelow(double fraction) const {
+    return static_cast<double>(answered) < fraction * static_cast<double>(requests);
+  }
+  std::string Describe(const char* connections) const {
+    return fmt::format("{} of {} requests on {} connections were answered in time", answered, requests,
+                       connections);
+  }
+};
+
 }  // namespace
 
+std::vector<SoakViolation> FindUnansweredClients(const std::vector<RequestRecord>& requests) {
+  constexpr double kMinAnsweredOnKept = 0.99;
+  constexpr double kMinAnsweredOnNew = 0.9;
+  AnswerCount on_kept;
+  AnswerCount on_new;
+  for (const RequestRecord& request : requests) {
+    AnswerCount& count = request.is_first_on_connection ? on_new : on_kept;
+    ++count.requests;
+    if (request.outcome == RequestOutcome::kAnswered) ++count.answered;
+  }
+  std::vector<SoakViolation> violations;
+  if (on_kept.IsBelow(kMinAnsweredOnKept)) {
+    violations.push_back({"sound clients", "", on_kept.Describe("kept")});
+  }
+  if (on_new.IsBelow(kMinAnsweredOnNew)) {
+    violations.push_back({"sound clients", "", on_new.Describe("new")});
+  }
+  return violations;
+}
+
 std::vector<SoakViolation> FindViolations(const std::vector<RequestRecord>& requests,
                                           const std::vector<Observation>& observations,
                                           const std::vector<DownTime>& down_times) {
--- a/src/loadtest/soak/soak_judge.h
+++ b/src/loadtest/soak/soak_judge.h
@@ -45,6 +45,11 @@
                                           const std::vector<Observation>& observations,
                                           const std::vector<DownTime>& down_times);
 
+// Returns a violation for the requests on kept connections, and one for the first requests on connections, if
+// too few of them were answered in time: 99% and 90%. To be checked only where no fault keeps a sound
+// client's answer from it.
+std::vector<SoakViolation> FindUnansweredClients(const std::vector<RequestRecord>& requests);
+
 }  // namespace sagetally::loadtest
 
 #endif  // SAGETALLY_SRC_LOADTEST_SOAK_SOAK_JUDGE_H_
--- a/src/loadtest/soak/soak_run.cpp
+++ b/src/loadtest/soak/soak_run.cpp
@@ -280,6 +280,11 @@
   result.answered = std::ranges::count(requests, RequestOutcome::kAnswered, &RequestRecord::outcome);
   result.violations = FindViolations(requests, stubs.Observations(), fleet.DownTimes());
   for (const SoakViolation& node_violation : fleet.Violations()) result.violations.push_back(node_violation);
+  if (schedule.judges_answers) {
+    for (const SoakViolation& violation : FindUnansweredClients(requests)) {
+      result.violations.push_back(violation);
+    }
+  }
   result.peak_memory_bytes = fleet.PeakMemoryBytes();
   result.client_path = fleet.StopClientProxies();
   const StubServerSet& servers = stubs.Stop();
--- a/src/loadtest/soak/soak_schedule.cpp
+++ b/src/loadtest/soak/soak_schedule.cpp
@@ -243,6 +243,7 @@
   schedule.max_pending = json.value("max_pending", schedule.max_pending);
   schedule.memory_mb = json.value("memory_mb", schedule.memory_mb);
   schedule.has_cloudevents = json.value("cloudevents", schedule.has_cloudevents);
+  schedule.judges_answers = json.value("judge_answers", schedule.judges_answers);
   schedule.body_bytes = json.value("body_bytes", schedule.body_bytes);
   schedule.destinations = json.value("destinations", schedule.destinations);
   schedule.partner_min_ms = json.value("partner_min_ms", 0.0);
@@ -300,6 +301,7 @@
           {"crowd_behaviors", behaviors},
           {"cloudevents", schedule.has_cloudevents},
           {"memory_mb", schedule.memory_mb},
+          {"judge_answers", schedule.judges_answers},
           {"sockets", schedule.descriptor_limit},
           {"max_pending", schedule.max_pending},
           {"call_faults", schedule.call_faults},
--- a/src/loadtest/soak/soak_schedule.h
+++ b/src/loadtest/soak/soak_schedule.h
@@ -51,6 +51,7 @@
   int descriptor_limit = 256;    // limit of each node's descriptors in its configuration
   double memory_mb = 192;        // limit of each node's memory, which the runner enforces
   int max_pending = 800;         // messages that each node holds at most
+  bool judges_answers = false;   // sound clients must get their answers in time
   std::string call_faults;  // the fault shim's specification of system call faults; empty if there are none
   std::vector<NodeFaultEvent> node_faults;  // in order of time
   std::vector<PartnerFaultEvent> partner_faults;
--- a/tests/loadtest/soak_test.cpp
+++ b/tests/loadtest/soak_test.cpp
@@ -78,6 +78,17 @@
                   .empty());
 }
 
+TEST(SoakRules, ReportTooFewAnswersOnKeptAndOnNewConnections) {
+  std::vector<RequestRecord> requests(200);
+  for (std::size_t i = 0; i < 20; ++i) requests[i].is_first_on_connection = true;
+  for (const std::size_t unanswered : {0U, 1U, 20U}) requests[unanswered].outcome = RequestOutcome::kTimedOut;
+  EXPECT_TRUE(FindUnansweredClients(requests).empty());
+  requests[2].outcome = RequestOutcome::kTimedOut;
+  EXPECT_EQ(FindUnansweredClients(requests).size(), 1U);
+  requests[21].outcome = RequestOutcome::kClosedOnLaterRequest;
+  EXPECT_EQ(FindUnansweredClients(requests).size(), 2U);
+}
+
 TEST(SoakSchedule, IsEqualForEqualSeedsAndAfterWritingAndReading) {
   const std::string path = testing::TempDir() + "soak-schedule.json";
   for (std::uint64_t seed = 1; seed <= 50; ++seed) {
