Requests in the buffer of a client that has gone are not taken on

Cause: after each answer, ServerConnection::Read went on with the next request in its buffer. The reset or the end of the connection was still in the socket, where libevent tells of it one round of the loop later; where answers are given at once, all requests of a 4 KB read were taken on in one round.

Change: before a whole request is taken on, the socket is read as far as the buffer takes it, and an error closes the connection. A client whose input has ended may only have ended its sending side, so its next request waits until the last response is written; if nobody reads there, the write brings the error. One server class serves both fronts, the forwarder and connections that were handed over, so it holds for all of them.

Why it works: an error in the socket is seen before each request, and behind an end of input at most one is handled.

--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -53,6 +53,13 @@
   return received;
 }
 
+// Returns the errno of the error that a socket has met and not reported yet; 0 if there is none.
+int TakeSocketError(int socket) {
+  int error_number = 0;
+  socklen_t size = sizeof error_number;
+  return ::getsockopt(socket, SOL_SOCKET, SO_ERROR, &error_number, &size) == 0 ? error_number : 0;
+}
+
 std::string ToString(boost::beast::string_view text) { return {text.data(), text.size()}; }
 
 std::string StatusLine(int status) {
@@ -257,6 +264,8 @@
 // Reads one step of a request. Returns false if nothing more can be read before another event occurs.
 bool ServerConnection::ReadStep() {
   if (UnwrittenBytes() > kMaxUnwrittenBytes) return false;
+  // A client that has ended its input may have closed the connection, which only a write shows.
+  if (client_has_ended_ && UnwrittenBytes() > 0) return false;
   if (!reader_.is_reading() && has_sent_requests_) timer_.Schedule(kNextRequestTimeout);
   switch (reader_.Read(input())) {
     case RequestReader::Step::kParsed:
@@ -267,6 +276,7 @@
       Write(kContinue);
       return true;
     case RequestReader::Step::kComplete:
+      if (CloseIfFailed()) return false;
       HandleRequest();
       return true;
     case RequestReader::Step::kRejected:
@@ -276,6 +286,32 @@
   return false;
 }
 
+// Closes the connection if an error shows that the client has gone. Behind unread bytes an error does not
+// show, so the socket is read first, as far as the buffer takes it.
+bool ServerConnection::CloseIfFailed() {
+  char byte = 0;
+  ssize_t size = Receive(socket(), &byte, 1, MSG_PEEK);
+  while (size > 0 && ReadSocket()) size = Receive(socket(), &byte, 1, MSG_PEEK);
+  if (size == 0) client_has_ended_ = true;
+  // Behind the end of the input, recv() reports no error.
+  const int error_number = size < 0 ? errno : TakeSocketError(socket());
+  const bool has_failed = error_number != 0 && error_number != EAGAIN && error_number != EWOULDBLOCK &&
+                          !IsTransientSocketError(error_number);
+  if (has_failed) server_.Close(*this, HttpServer::CloseReason::kFailed, error_number);
+  return has_failed;
+}
+
+// Reads from the socket without waiting for the loop. Returns whether the buffer has taken bytes.
+bool ServerConnection::ReadSocket() {
+  const std::size_t size = evbuffer_get_length(input());
+  const std::size_t max_size = reader_.max_unparsed_bytes();
+  if (size >= max_size) return false;
+  evbuffer_unfreeze(input(), 0);  // libevent lets only itself add to its end
+  const int received = evbuffer_read(input(), socket(), static_cast<int>(max_size - size));
+  evbuffer_freeze(input(), 0);
+  return received > 0;
+}
+
 void ServerConnection::DiscardInput() {
   const std::size_t size = evbuffer_get_length(input());
   discarded_bytes_ += size;
--- a/src/net/server_connection.h
+++ b/src/net/server_connection.h
@@ -79,6 +79,8 @@
   void OnSocketEvent(short events);
   void Read();
   bool ReadStep();
+  bool CloseIfFailed();
+  bool ReadSocket();
   void DiscardInput();
   void CloseAfterLinger();
   void ResumeTransferred(const HttpServer::TransferredClient& transferred);
