A request is kept once while it is read, with at most 100 fields and bounded framing

Cause: the limits of a request were bytes on the wire. A field `a:` takes four bytes there and some eighty in the parser, and once more as strings; the framing of chunks was not limited at all, and all received bytes were kept beside the parsed request, for a handover.

Change: a request that comes at once is parsed from the buffer as before. Any other is kept as the bytes received, checked as they come by a parser that keeps no body, and parsed when it is complete. More than 100 fields get 431, framing of more than a body's limit gets 413. No further request is read while 8 KB of responses are unread (64 KB before).

Why it works: what a partial request costs is now its bytes on the wire plus 100 fields at most.

--- a/src/net/http_parsing.h
+++ b/src/net/http_parsing.h
@@ -19,17 +19,27 @@
   boost::system::error_code error = {};  // not set if the parser only needs more bytes
 };
 
-// Passes all bytes of `input` to `parser`. The caller drains the consumed bytes.
+// Passes `bytes` to `parser`.
 template <typename Parser>
-ParseProgress FeedParser(Parser& parser, evbuffer* input) {
+ParseProgress FeedParser(Parser& parser, boost::asio::const_buffer bytes) {
   ParseProgress progress;
-  progress.available_bytes = evbuffer_get_length(input);
-  const boost::asio::const_buffer bytes(evbuffer_pullup(input, -1), progress.available_bytes);
+  progress.available_bytes = bytes.size();
   progress.consumed_bytes = parser.put(bytes, progress.error);
   if (progress.error == boost::beast::http::error::need_more) progress.error = {};
   return progress;
 }
 
+// Returns all bytes of `buffer` in one piece, without removing them.
+inline boost::asio::const_buffer BytesOf(evbuffer* buffer) {
+  return {evbuffer_pullup(buffer, -1), evbuffer_get_length(buffer)};
+}
+
+// Passes all bytes of `input` to `parser`. The caller drains the consumed bytes.
+template <typename Parser>
+ParseProgress FeedParser(Parser& parser, evbuffer* input) {
+  return FeedParser(parser, BytesOf(input));
+}
+
 // Returns the value of the header `name`, or an empty string if it is absent.
 inline std::string_view FieldValue(const boost::beast::http::fields& fields, const char* name) {
   const auto value = fields[name];
--- a/src/net/libevent_ptr.h
+++ b/src/net/libevent_ptr.h
@@ -22,6 +22,7 @@
 };
 
 using EventPtr = std::unique_ptr<event, Free<event_free>>;
+using BufferPtr = std::unique_ptr<evbuffer, Free<evbuffer_free>>;
 using BufferEventPtr = std::unique_ptr<bufferevent, Free<bufferevent_free>>;
 using EventListenerPtr = std::unique_ptr<evconnlistener, Free<evconnlistener_free>>;
 using HttpPtr = std::unique_ptr<evhttp, Free<evhttp_free>>;
--- a/src/net/request_reader.cpp
+++ b/src/net/request_reader.cpp
@@ -1,5 +1,6 @@
 #include "net/request_reader.h"
 
+#include <boost/asio/buffer.hpp>
 #include <string_view>
 #include <utility>
 
@@ -33,6 +34,15 @@
   return length_count <= 1;
 }
 
+// Trailers of a chunked body count as fields too.
+bool HasTooManyFields(const http::fields& fields) {
+  std::size_t count = 0;
+  for (auto field = fields.begin(); field != fields.end(); ++field) {
+    if (++count > RequestReader::kMaxFields) return true;
+  }
+  return false;
+}
+
 int StatusOf(const boost::system::error_code& error) {
   if (error == http::error::body_limit) return kPayloadTooLarge;
   if (error == http::error::header_limit) return kHeaderFieldsTooLarge;
@@ -41,52 +51,123 @@
 
 }  // namespace
 
-void RequestReader::StartRequest() {
-  parser_.emplace();
-  parser_->header_limit(static_cast<std::uint32_t>(limits_.max_head_bytes));
-  parser_->body_limit(limits_.max_body_bytes);
-  head_checked_ = false;
-}
+RequestReader::RequestReader(Limits limits) : limits_(limits), received_(evbuffer_new()) {}
 
 RequestReader::Step RequestReader::Read(evbuffer* input) {
-  if (!parser_) StartRequest();
-  const ParseProgress progress = FeedParser(*parser_, input);
+  if (!std::exchange(is_reading_, true)) {
+    const Step step = ReadIntoRequest(input);
+    if (step != Step::kBlocked) return step;
+    checker_.emplace();
+    SetLimits(*checker_);
+    is_head_checked_ = false;
+  }
+  return Check(input);
+}
+
+// Parses the next request if `input` holds all of it. Returns kComplete, kRejected or, if bytes are missing,
+// kBlocked.
+RequestReader::Step RequestReader::ReadIntoRequest(evbuffer* input) {
+  RequestParser parser;
+  SetLimits(parser);
+  const boost::asio::const_buffer bytes = BytesOf(input);
+  is_head_checked_ = false;
+  const ParseProgress head = FeedParser(parser, bytes);
+  if (head.error) return Reject(StatusOf(head.error));
+  if (const std::optional<Step> rejected = CheckHead(parser)) return *rejected;
+  if (!parser.is_header_done()) return Step::kBlocked;
+  parser.eager(true);
+  ParseProgress body;
+  if (!parser.is_done()) body = FeedParser(parser, bytes + head.consumed_bytes);
+  if (body.error) return Reject(StatusOf(body.error));
+  if (!parser.is_done()) return Step::kBlocked;
+  if (HasTooManyFields(parser.get())) return Reject(kHeaderFieldsTooLarge);
+  evbuffer_drain(input, head.consumed_bytes + body.consumed_bytes);
+  request_ = parser.release();
+  return Step::kComplete;
+}
+
+// Checks bytes of a request that has not come at once, and moves them to `received_`.
+RequestReader::Step RequestReader::Check(evbuffer* input) {
+  const ParseProgress progress = FeedParser(*checker_, input);
   if (progress.error) return Reject(StatusOf(progress.error));
   const std::size_t consumed = progress.consumed_bytes;
-  // Keeps the bytes of an incomplete request, because another process may have to continue reading it.
-  if (!parser_->is_done()) {
-    consumed_bytes_.append(reinterpret_cast<char*>(evbuffer_pullup(input, consumed)), consumed);
-  }
-  evbuffer_drain(input, consumed);
-  if (parser_->is_header_done() && !std::exchange(head_checked_, true)) {
-    if (!HasUnambiguousLength(parser_->get())) return Reject(kBadRequest);
-    parser_->eager(true);
-    const bool body_has_begun = evbuffer_get_length(input) > 0 || parser_->is_done();
-    const auto expectation = parser_->get()[http::field::expect];
+  evbuffer_remove_buffer(input, received_.get(), consumed);
+  const bool is_head_done_now = checker_->is_header_done() && !is_head_checked_;
+  if (const std::optional<Step> rejected = CheckHead(*checker_)) return *rejected;
+  if (evbuffer_get_length(received_.get()) > MaxReceivedBytes()) return Reject(kPayloadTooLarge);
+  if (is_head_done_now) {
+    checker_->eager(true);
+    const bool body_has_begun = evbuffer_get_length(input) > 0 || checker_->is_done();
+    const auto expectation = checker_->get()[http::field::expect];
     if (!body_has_begun && boost::beast::iequals(expectation, "100-continue")) return Step::kExpectsContinue;
   }
-  if (parser_->is_done()) return Step::kComplete;
+  if (checker_->is_done()) return ParseReceived() ? Step::kComplete : Reject(kBadRequest);
   if (consumed > 0) return Step::kParsed;
   // If the buffer is full and the parser consumes nothing, a line is too long and can never be complete.
   return progress.available_bytes >= max_unparsed_bytes() ? Reject(kBadRequest) : Step::kBlocked;
 }
 
+template <typename Parser>
+void RequestReader::SetLimits(Parser& parser) const {
+  parser.header_limit(static_cast<std::uint32_t>(limits_.max_head_bytes));
+  parser.body_limit(limits_.max_body_bytes);
+}
+
+// Checks as much of the head as was parsed. Returns kRejected if it can't be accepted, else nothing.
+template <typename Parser>
+std::optional<RequestReader::Step> RequestReader::CheckHead(Parser& parser) {
+  if (is_head_checked_) return std::nullopt;
+  if (HasTooManyFields(parser.get())) return Reject(kHeaderFieldsTooLarge);
+  is_head_checked_ = parser.is_header_done();
+  if (is_head_checked_ && !HasUnambiguousLength(parser.get())) return Reject(kBadRequest);
+  return std::nullopt;
+}
+
+// The longest request as received. The framing of a chunked body may take up as many bytes as a body.
+std::size_t RequestReader::MaxReceivedBytes() const {
+  return limits_.max_head_bytes + 2 * limits_.max_body_bytes;
+}
+
+// Parses `received_`, which holds a whole request. Returns false if it can't be accepted after all.
+bool RequestReader::ParseReceived() {
+  RequestParser parser;
+  SetLimits(parser);
+  parser.eager(true);
+  boost::asio::const_buffer bytes = BytesOf(received_.get());
+  while (!parser.is_done()) {
+    const ParseProgress progress = FeedParser(parser, bytes);
+    if (progress.error || progress.consumed_bytes == 0) return false;
+    bytes += progress.consumed_bytes;
+  }
+  if (HasTooManyFields(parser.get())) return false;
+  request_ = parser.release();
+  return true;
+}
+
+std::string RequestReader::CopyReceivedBytes() const {
+  std::string bytes(evbuffer_get_length(received_.get()), '\0');
+  evbuffer_copyout(received_.get(), bytes.data(), bytes.size());
+  return bytes;
+}
+
 std::size_t RequestReader::HeldBytes() const {
-  if (!parser_) return 0;
-  std::size_t size = consumed_bytes_.capacity() + parser_->get().body().capacity();
-  for (const auto& field : parser_->get()) size += MemoryOf(field);
+  std::size_t size = evbuffer_get_length(received_.get());
+  if (!checker_) return size;
+  for (const auto& field : checker_->get()) size += MemoryOf(field);
   return size;
 }
 
 RequestReader::HttpRequest RequestReader::TakeRequest() {
-  HttpRequest request = parser_->release();
+  HttpRequest request = std::move(*request_);
   Reset();
   return request;
 }
 
 void RequestReader::Reset() {
-  parser_.reset();
-  consumed_bytes_ = std::string();  // releases its memory, which clear() would not do
+  is_reading_ = false;
+  checker_.reset();
+  request_.reset();
+  evbuffer_drain(received_.get(), evbuffer_get_length(received_.get()));
 }
 
 RequestReader::Step RequestReader::Reject(int status) {
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -23,7 +23,7 @@
 constexpr Duration kNextRequestTimeout = milliseconds(1500);  // from a request's first byte to its last
 constexpr Duration kIdleTimeout = milliseconds(4000);
 // No further request is read while the client has left more bytes of responses than this unread.
-constexpr std::size_t kMaxUnwrittenBytes = 64 * 1024;
+constexpr std::size_t kMaxUnwrittenBytes = 8 * 1024;
 // After the last response, what the client sends is discarded for a short time. Closing the socket with
 // unread bytes would reset the connection before the client has read the response.
 constexpr Duration kLingerTime = milliseconds(200);
@@ -242,14 +242,14 @@
 }
 
 HttpServer::ClientToTransfer ServerConnection::DescribeForTransfer() const {
-  const std::string& consumed = reader_.consumed_bytes();
+  const std::string received = reader_.CopyReceivedBytes();
   const std::size_t unparsed = evbuffer_get_length(input());
   HttpServer::ClientToTransfer client;
   client.fd = socket();
   client.has_sent_requests = has_sent_requests_;
   client.age = std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() - idle_since_);
-  client.bytes = consumed + std::string(unparsed, '\0');
-  evbuffer_copyout(input(), client.bytes.data() + consumed.size(), unparsed);
+  client.bytes = received + std::string(unparsed, '\0');
+  evbuffer_copyout(input(), client.bytes.data() + received.size(), unparsed);
   return client;
 }
 
