One account of memory: the clients and the messages of a process keep to shares of memory_mb

Cause: memory_mb bound the size of a batch and nothing else. The number of clients followed from the descriptors alone, messages were limited by count, remembered ids by a constant, so the worst case was a third of the descriptors times the cost of one client. Freed memory stayed in the allocator.

Change: DivideMemory divides three quarters of memory_mb less 10 MB at rest. Connections report what they hold; beyond their share those within a request give way, most bytes for longest first, never one whose request is being answered (ClientMemory, client_eviction). Messages beyond theirs are refused with 429 "no memory for more messages", once retained events are gone. Remembered ids are as many as fit. At most 8 KB are read ahead of the parser. Freed memory is returned (one arena, large blocks mapped, malloc_trim 0.5 s after 1 MB was released). memory.share_full in the log, one a second at most; a batch is a sixteenth of the clients' share at most. memory_mb under 20 or over 1048576 is refused at the start with its key.

Why it works: what outside input can grow there is counted where it grows, and taken back before the next read.

--- a/src/app/client_servers.cpp
+++ b/src/app/client_servers.cpp
@@ -6,12 +6,13 @@
 namespace sagetally {
 
 ClientServers::ClientServers(EventLoop& loop, Logger& log, const Config& config, const NodeFile& node_file,
-                             RequestValidator& validator, const Readiness& readiness)
+                             RequestValidator& validator, const Readiness& readiness, ClientMemory& memory)
     : loop_(loop),
       log_(log),
       config_(config),
       node_file_(node_file),
       request_log_(log),
+      memory_(memory),
       platform_frontend_(config.site, validator, readiness),
       cloudevents_frontend_(config.site, validator, readiness) {}
 
--- a/src/app/client_servers.h
+++ b/src/app/client_servers.h
@@ -30,7 +30,7 @@
  public:
   // All references must outlive this object.
   ClientServers(EventLoop& loop, Logger& log, const Config& config, const NodeFile& node_file,
-                RequestValidator& validator, const Readiness& readiness);
+                RequestValidator& validator, const Readiness& readiness, ClientMemory& memory);
 
   // Starts to listen. Listeners that `received` holds are used if they are bound to the configured addresses;
   // `received` may be null. Throws std::runtime_error if it can't listen.
@@ -48,9 +48,6 @@
   }
   std::size_t connections() const;
 
-  // The memory that the clients' connections hold.
-  const MemoryAccount& memory() const { return memory_.account(); }
-
   // Returns whether every request that has been read has its response, and every response has been written.
   bool HasNoPendingResponse() const;
   // Sets whether each response from now on is the last one on its connection.
@@ -83,7 +80,7 @@
   const Config& config_;
   const NodeFile& node_file_;
   RequestLog request_log_;
-  ClientMemory memory_;
+  ClientMemory& memory_;
   PlatformFrontend platform_frontend_;
   CloudEventsFrontend cloudevents_frontend_;
   std::unique_ptr<HttpServer> platform_server_;
--- a/src/app/dispatcher.cpp
+++ b/src/app/dispatcher.cpp
@@ -43,6 +43,8 @@
       policy_run_timer_(loop_, [this] { RunPolicy(); }),
       policy_timer_(loop_, [this] { pipeline_.router.QueueEvent(TimerFired{}); }),
       metrics_(config_.site.classes),
+      memory_(loop_, log_, config_.memory_limit_bytes),
+      messages_(memory_.limits().message_bytes, memory_.limits().remembered_ids),
       journal_(loop_, log_, config_, node_file_.journal, messages_, clock_, MakeJournalCallbacks(),
                TakeJournalLock()),
       endpoint_pool_(loop_, MakePoolLimits(config_, node_file_),
@@ -57,7 +59,8 @@
                         : nullptr),
       pipeline_(config_.site, config_.seed, messages_, journal_.journal(), *this, *this, *this, clock_,
                 dead_letters_ ? dead_letters_->sink() : nullptr, &metrics_),
-      client_servers_(loop_, log_, config_, node_file_, pipeline_.request_validator, readiness_),
+      client_servers_(loop_, log_, config_, node_file_, pipeline_.request_validator, readiness_,
+                      memory_.clients()),
       admin_(loop_, log_, readiness_, client_servers_, metrics_, clock_, [this] { return Gauges(); }),
       shutdown_(loop_, client_servers_, [this] { return HasPendingWork(); }) {
   endpoint_pool_.on_call_written = [this] { metrics_.RecordCallWritten(); };
@@ -66,6 +69,7 @@
   platform_notifications_.on_rejected = [this] { metrics_.RecordRejectedNotifications(); };
   if (result_events_) result_events_->on_rejected = platform_notifications_.on_rejected;
   client_servers_.SetOnEvicted([this](const std::string& reason) { metrics_.RecordEviction(reason); });
+  memory_.ReturnMemoryOf(messages_.memory());
   readiness_.can_record = [this] { return journal_.journal().is_writable(); };
   pipeline_.admission_controller.is_accepting = [this] { return readiness_.IsAccepting(clock_.Now()); };
 }
@@ -221,7 +225,7 @@
 GaugeValues Dispatcher::Gauges() const {
   GaugeValues gauges{PendingMessages(), pipeline_.router.known_endpoint_count(),
                      pipeline_.router.avoided_endpoint_count(), ResidentBytes()};
-  const MemoryAccount& clients = client_servers_.memory();
+  const MemoryAccount& clients = memory_.clients().account();
   gauges.memory.push_back({"clients", clients.used(), clients.limit()});
   gauges.memory.push_back({"messages", messages_.memory().used(), messages_.memory().limit()});
   return gauges;
--- a/src/app/dispatcher.h
+++ b/src/app/dispatcher.h
@@ -19,6 +19,7 @@
 #include "app/handover_predecessor.h"
 #include "app/handover_successor.h"
 #include "app/journal_service.h"
+#include "app/memory_control.h"
 #include "app/request_log.h"
 #include "app/shutdown_sequence.h"
 #include "config/config.h"
@@ -128,6 +129,7 @@
   Timer policy_timer_;
   Readiness readiness_;
   Metrics metrics_;
+  MemoryControl memory_;
   MessageTable messages_;
   JournalService journal_;
   EndpointPool endpoint_pool_;
--- a/src/app/forwarder.cpp
+++ b/src/app/forwarder.cpp
@@ -49,6 +49,7 @@
     : loop_(loop),
       log_(log),
       config_(config),
+      memory_(loop, log, config.memory_limit_bytes),
       cloudevents_address_(node_file.cloudevents->listen),
       planners_application_(node_file.eureka->planners),
       eureka_(
@@ -62,12 +63,14 @@
   const DescriptorLimits limits = DivideDescriptors(config_, true);
   platform_server_ = std::make_unique<HttpServer>(
       loop_, config_.listen, HttpServer::Limits{RequestValidator::kMaxBodyBytes, limits.platform_connections},
-      [this](const std::shared_ptr<Exchange>& exchange) { OnPlatformRequest(exchange); });
+      [this](const std::shared_ptr<Exchange>& exchange) { OnPlatformRequest(exchange); }, FileDescriptor(),
+      &memory_.clients());
   cloudevents_server_ = std::make_unique<HttpServer>(
       loop_, cloudevents_address_,
       HttpServer::Limits{limits.cloudevents_body_bytes, limits.cloudevents_connections,
                          CloudEventsFrontend::kMaxHeadBytes},
-      [this](const std::shared_ptr<Exchange>& exchange) { OnCloudEventsRequest(exchange); });
+      [this](const std::shared_ptr<Exchange>& exchange) { OnCloudEventsRequest(exchange); }, FileDescriptor(),
+      &memory_.clients());
   log_.Info(
       "ready",
       {{"name", config_.name}, {"role", "forwarder"}, {"port", port()}, {"events_port", cloudevents_port()}});
--- a/src/app/forwarder.h
+++ b/src/app/forwarder.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "app/forwarding_policy.h"
+#include "app/memory_control.h"
 #include "config/config.h"
 #include "config/node_file.h"
 #include "frontend/cloudevents/cloud_event.h"
@@ -65,6 +66,7 @@
   EventLoop& loop_;
   Logger& log_;
   const Config& config_;
+  MemoryControl memory_;
   const Address cloudevents_address_;
   const std::string planners_application_;
   EurekaClient eureka_;
--- a/src/app/request_log.cpp
+++ b/src/app/request_log.cpp
@@ -31,6 +31,8 @@
       return "evicted";
     case Reason::kEvictedInRequest:
       return "evicted_in_request";
+    case Reason::kEvictedForMemory:
+      return "evicted_for_memory";
     case Reason::kResponseRead:
       return "response_read";
     case Reason::kTooMuchInput:
@@ -75,7 +77,9 @@
 }
 
 bool IsEviction(HttpServer::CloseReason reason) {
-  return reason == HttpServer::CloseReason::kEvicted || reason == HttpServer::CloseReason::kEvictedInRequest;
+  using Reason = HttpServer::CloseReason;
+  return reason == Reason::kEvicted || reason == Reason::kEvictedInRequest ||
+         reason == Reason::kEvictedForMemory;
 }
 
 std::int64_t ToMilliseconds(Duration duration) {
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -7,6 +7,7 @@
 #include <fstream>
 #include <sstream>
 
+#include "config/memory_limits.h"
 #include "config/parse_number.h"
 
 namespace sagetally {
@@ -19,6 +20,8 @@
 constexpr double kBytesPerMegabyte = 1e6;
 constexpr double kDefaultDiskMegabytes = 3.0;
 constexpr double kDefaultMemoryMegabytes = 192.0;
+// Beyond this, limits of memory and disk make no difference.
+constexpr double kMaxMegabytes = 1e9;
 constexpr std::size_t kDefaultSockets = 1024;
 constexpr std::size_t kMinSockets = 64;
 
@@ -136,7 +139,12 @@
     ReadSection("limits", [&] {
       config_.disk_limit_bytes = ToBytes(Get<double>(*limits, "disk_mb", kDefaultDiskMegabytes));
       config_.socket_limit = Get<std::size_t>(*limits, "sockets", kDefaultSockets);
-      config_.memory_limit_bytes = ToBytes(Get<double>(*limits, "memory_mb", kDefaultMemoryMegabytes));
+      const auto memory_megabytes = Get<double>(*limits, "memory_mb", kDefaultMemoryMegabytes);
+      if (memory_megabytes < kMinMemoryMegabytes || memory_megabytes > kMaxMemoryMegabytes) {
+        throw FormatError("'memory_mb' must be from 20 to 1048576",
+                          {"memory_mb", "from 20 to 1048576", std::to_string(memory_megabytes)});
+      }
+      config_.memory_limit_bytes = ToBytes(memory_megabytes);
       if (config_.socket_limit < kMinSockets) {
         throw FormatError("'sockets' must be at least 64",
                           {"sockets", "at least 64", std::to_string(config_.socket_limit)});
@@ -145,7 +153,7 @@
   }
 
   static std::size_t ToBytes(double megabytes) {
-    return static_cast<std::size_t>(megabytes * kBytesPerMegabyte);
+    return static_cast<std::size_t>(std::clamp(megabytes, 0.0, kMaxMegabytes) * kBytesPerMegabyte);
   }
 
   void ReadPeers() {
@@ -220,6 +228,7 @@
   static constexpr std::size_t kOtherDescriptors = 24;
   // Maximum body of one request with CloudEvents, in bytes.
   static constexpr std::size_t kMaxBatchBytes = 1024 * 1024;
+  static constexpr std::size_t kMinBatchesAtOnce = 16;
   const std::size_t clients = config.socket_limit / 3;
   DescriptorLimits descriptors;
   if (config.admin) descriptors.admin_connections = std::clamp<std::size_t>(config.socket_limit / 16, 8, 32);
@@ -230,8 +239,10 @@
   }
   descriptors.platform_connections = clients - descriptors.cloudevents_connections;
   if (has_cloudevents) {
+    // Several batches can be read at once within the clients' share of the memory.
     descriptors.cloudevents_body_bytes =
-        std::min(kMaxBatchBytes, config.memory_limit_bytes / 4 / descriptors.cloudevents_connections);
+        std::min({kMaxBatchBytes, config.memory_limit_bytes / 4 / descriptors.cloudevents_connections,
+                  DivideMemory(config.memory_limit_bytes).client_bytes / kMinBatchesAtOnce});
   }
   return descriptors;
 }
--- a/src/core/id_history.cpp
+++ b/src/core/id_history.cpp
@@ -33,7 +33,7 @@
 }
 
 void IdHistory::Insert(const RememberedId& id) {
-  if (ids_.size() >= kMaxIds && !ids_.contains(id.hash)) RemoveEarliest(id.remembered_at - kMinRetention);
+  if (ids_.size() >= max_ids_ && !ids_.contains(id.hash)) RemoveEarliest(id.remembered_at - kMinRetention);
   ids_[id.hash] = {id.remembered_at, id.expires_at, id.outcome};
   hashes_by_expiry_[ExpirySecond(id.expires_at)].push_back(id.hash);
 }
@@ -50,7 +50,7 @@
 
 bool IdHistory::IsFull(Time now) {
   RemoveExpired(now);
-  return ids_.size() >= kMaxIds && !RemoveEarliest(now - kMinRetention);
+  return ids_.size() >= max_ids_ && !RemoveEarliest(now - kMinRetention);
 }
 
 void IdHistory::RemoveExpired(Time now) {
--- a/src/core/id_history.h
+++ b/src/core/id_history.h
@@ -5,6 +5,7 @@
 #ifndef SAGETALLY_SRC_CORE_ID_HISTORY_H_
 #define SAGETALLY_SRC_CORE_ID_HISTORY_H_
 
+#include <algorithm>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -42,10 +43,14 @@
   static constexpr Duration kMaxRequestDelay = std::chrono::seconds(30);
   // An id is remembered no longer than this, whatever its deadline.
   static constexpr Duration kMaxRetention = std::chrono::seconds(150);
-  // If kMaxIds are remembered, those that are older than kMinRetention make room for new ones.
+  // If as many ids as possible are remembered, those that are older than kMinRetention make room for new
+  // ones.
   static constexpr std::size_t kMaxIds = 65'536;
   static constexpr Duration kMinRetention = std::chrono::seconds(5);
 
+  // Remembers `max_ids` ids at most, and no more than kMaxIds.
+  explicit IdHistory(std::size_t max_ids = kMaxIds) : max_ids_(std::min(max_ids, kMaxIds)) {}
+
   // Sets the key of the hash. To be called before the first id is added.
   void SetKey(std::uint64_t key) { key_ = key; }
 
@@ -78,6 +83,7 @@
   void RemoveExpired(Time now);
   bool RemoveEarliest(Time remembered_before);
 
+  std::size_t max_ids_;
   std::uint64_t key_ = 0;
   std::unordered_map<std::uint64_t, Entry> ids_;  // by hash
   // The hashes by the time at which they expire, in whole seconds. May contain hashes whose entry has been
--- a/src/core/message_table.h
+++ b/src/core/message_table.h
@@ -35,6 +35,11 @@
   static constexpr Duration kDeduplicationWindow = std::chrono::minutes(5);
   static constexpr std::size_t kMaxRetainedMessages = 1500;
 
+  MessageTable() = default;
+  // `memory_limit` is the messages' share in bytes, `max_remembered_ids` the size of id_history().
+  MessageTable(std::size_t memory_limit, std::size_t max_remembered_ids)
+      : id_history_(max_remembered_ids), memory_(memory_limit) {}
+
   // Adds a message. If its number is 0, it is assigned the next free number. The returned reference stays
   // valid until the message is removed.
   Message& Add(Message message);
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -9,6 +9,7 @@
 #include "app/dispatcher.h"
 #include "app/forwarder.h"
 #include "app/journal_settings.h"
+#include "base/process_memory.h"
 #include "cli/admin_commands.h"
 #include "cli/dead_letter_commands.h"
 #include "cli/journal_commands.h"
@@ -70,6 +71,7 @@
 }
 
 void Serve(const Options& options) {
+  ConfigureAllocator();
   const NodeFile node_file = options.ReadNode();
   const ConfigRequirements requirements = GetRequirements(node_file);
   const Config config = options.ReadConfiguration(requirements);
--- a/src/net/client_eviction.cpp
+++ b/src/net/client_eviction.cpp
@@ -95,4 +95,18 @@
   return is_any_about_to_complete;
 }
 
+MemoryEviction FindClientToEvictForMemory(const ClientMap& clients, TimePoint now) {
+  // A request on a connection that has carried others counts less, by this factor.
+  constexpr double kLaterRequestWeight = 0.01;
+  MemoryEviction best;
+  for (const auto& [client, owned] : clients) {
+    if (!client->HasNoPendingResponse() || !client->is_reading_request()) continue;
+    const double age_ms = std::chrono::duration<double, std::milli>(now - client->idle_since()).count() + 1;
+    const double weight = client->has_sent_requests() ? kLaterRequestWeight : 1;
+    const double gain = static_cast<double>(client->held_bytes()) * age_ms * weight;
+    if (gain > best.gain) best = {client, gain};
+  }
+  return best;
+}
+
 }  // namespace sagetally
--- a/src/net/client_eviction.h
+++ b/src/net/client_eviction.h
@@ -26,6 +26,16 @@
 // it gives way then.
 bool ShouldWaitForPlace(const ClientMap& clients, std::chrono::steady_clock::time_point now);
 
+// A connection that gives way because the clients' memory is full.
+struct MemoryEviction {
+  ServerConnection* client = nullptr;  // null: none
+  double gain = 0;                     // bytes held times milliseconds; 0 if there is none
+};
+// Returns the connection within a request that holds most for longest, a first request before a later one. A
+// request that is being answered keeps its connection, so nothing that was accepted is lost.
+MemoryEviction FindClientToEvictForMemory(const ClientMap& clients,
+                                          std::chrono::steady_clock::time_point now);
+
 }  // namespace sagetally
 
 #endif  // SAGETALLY_SRC_NET_CLIENT_EVICTION_H_
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -54,9 +54,10 @@
       stop_listening_timer_(loop, [this] { AcceptQueue(); }),
       closed_clients_(loop) {
   evconnlistener_set_error_cb(listener_.get(), OnAcceptFailed);
+  memory_.AddHolder(*this);
 }
 
-HttpServer::~HttpServer() = default;
+HttpServer::~HttpServer() { memory_.RemoveHolder(*this); }
 
 EventListenerPtr HttpServer::OpenListener(const Address& address, FileDescriptor inherited) {
   EventListenerPtr listener;
@@ -116,6 +117,18 @@
   return true;
 }
 
+double HttpServer::EvictionGain() const {
+  return FindClientToEvictForMemory(clients_, std::chrono::steady_clock::now()).gain;
+}
+
+void HttpServer::EvictForMemory() {
+  ServerConnection* const client =
+      FindClientToEvictForMemory(clients_, std::chrono::steady_clock::now()).client;
+  if (client == nullptr) return;
+  client->RejectPartialRequest();
+  Close(*client, CloseReason::kEvictedForMemory);
+}
+
 // Leaves further connections in the listener's queue for a while if enough were accepted in this iteration of
 // the loop, so that the open ones are served too, or if all places are taken by those that keep theirs for
 // the moment.
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -24,7 +24,7 @@
 
 // Owns the listener and the clients' connections. Used on the event loop's thread only, and the handler is
 // called on that thread.
-class HttpServer {
+class HttpServer : private ClientMemoryHolder {
  public:
   // Why a connection was closed, for the log.
   enum class CloseReason {
@@ -32,6 +32,7 @@
     kFailed,            // a socket error occurred
     kEvicted,           // closed between requests to make room for a new connection
     kEvictedInRequest,  // closed for that purpose within a request, which was answered with 503
+    kEvictedForMemory,  // closed in the same way, because the clients' share of the memory was full
     kResponseRead,      // closed after the last response was written, or after the idle timeout
     kTooMuchInput,      // the client kept sending after its last response
     kResponseNotRead,   // the client did not read its last response in time
@@ -81,7 +82,7 @@
   // ListenError.
   HttpServer(EventLoop& loop, const Address& address, Limits limits, Handler handler,
              FileDescriptor inherited = FileDescriptor(), ClientMemory* memory = nullptr);
-  ~HttpServer();
+  ~HttpServer() override;
 
   // The port that the listener is bound to.
   std::uint16_t port() const { return port_; }
@@ -128,6 +129,9 @@
   static void OnAcceptFailed(evconnlistener*, void* self);
   EventListenerPtr OpenListener(const Address& address, FileDescriptor inherited);
   void AddClient(std::unique_ptr<ServerConnection> client);
+  // Implements ClientMemoryHolder.
+  double EvictionGain() const override;
+  void EvictForMemory() override;
   bool EvictClient();
   void PauseAcceptingIfDue();
   void ResumeAccepting();
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -24,6 +24,8 @@
 constexpr Duration kIdleTimeout = milliseconds(4000);
 // No further request is read while the client has left more bytes of responses than this unread.
 constexpr std::size_t kMaxUnwrittenBytes = 8 * 1024;
+// So many bytes are received ahead of the parser, unless a single line is longer.
+constexpr std::size_t kMaxReadAheadBytes = 8 * 1024;
 // After the last response, what the client sends is discarded for a short time. Closing the socket with
 // unread bytes would reset the connection before the client has read the response.
 constexpr Duration kLingerTime = milliseconds(200);
@@ -107,8 +109,7 @@
       idle_since_(std::chrono::steady_clock::now()),
       last_received_at_(idle_since_) {
   bufferevent_setcb(buffers_.get(), OnReadable, OnOutputDrained, OnEvent, this);
-  // Limits what is buffered while a request is being answered, or while a line without an end is received.
-  bufferevent_setwatermark(buffers_.get(), EV_READ, 0, reader_.max_unparsed_bytes());
+  LimitReadAhead(kMaxReadAheadBytes);
   bufferevent_enable(buffers_.get(), EV_READ | EV_WRITE);
   timer_.Schedule(kFirstRequestTimeout);
   if (transferred != nullptr) ResumeTransferred(*transferred);
@@ -271,6 +272,7 @@
     case RequestReader::Step::kParsed:
       return true;
     case RequestReader::Step::kBlocked:
+      if (evbuffer_get_length(input()) >= kMaxReadAheadBytes) LimitReadAhead(reader_.max_unparsed_bytes());
       return false;
     case RequestReader::Step::kExpectsContinue:
       Write(kContinue);
@@ -304,10 +306,9 @@
 // Reads from the socket without waiting for the loop. Returns whether the buffer has taken bytes.
 bool ServerConnection::ReadSocket() {
   const std::size_t size = evbuffer_get_length(input());
-  const std::size_t max_size = reader_.max_unparsed_bytes();
-  if (size >= max_size) return false;
+  if (size >= kMaxReadAheadBytes) return false;
   evbuffer_unfreeze(input(), 0);  // libevent lets only itself add to its end
-  const int received = evbuffer_read(input(), socket(), static_cast<int>(max_size - size));
+  const int received = evbuffer_read(input(), socket(), static_cast<int>(kMaxReadAheadBytes - size));
   evbuffer_freeze(input(), 0);
   return received > 0;
 }
@@ -333,6 +334,7 @@
   has_sent_requests_ = true;
   ++request_count_;
   timer_.Stop();
+  LimitReadAhead(kMaxReadAheadBytes);
   keep_alive_ = request.keep_alive();
   open_request_bytes_ = MemoryOf(request);
   auto exchange = std::make_shared<Exchange>(this, ToString(request.method_string()), PathOf(request),
@@ -390,6 +392,10 @@
   timer_.Schedule(kLingerTime);
 }
 
+void ServerConnection::LimitReadAhead(std::size_t max_bytes) {
+  bufferevent_setwatermark(buffers_.get(), EV_READ, 0, max_bytes);
+}
+
 // Schedules OnReadable() for the bytes that are already in the buffer. libevent reports only new bytes.
 void ServerConnection::ReadSoon() { bufferevent_trigger(buffers_.get(), EV_READ, BEV_OPT_DEFER_CALLBACKS); }
 
--- a/src/net/server_connection.h
+++ b/src/net/server_connection.h
@@ -67,6 +67,10 @@
   HttpServer::ClientToTransfer DescribeForTransfer() const;
   // Returns whether no further request is read.
   bool is_closing() const { return is_closing_; }
+  // Returns whether a part of a request was read.
+  bool is_reading_request() const { return reader_.is_reading(); }
+  // When the connection was accepted or last answered.
+  std::chrono::steady_clock::time_point idle_since() const { return idle_since_; }
   // The memory that the connection holds, in bytes.
   std::size_t held_bytes() const { return held_bytes_; }
   // When bytes were received last or, if that is later, when the connection was accepted or last answered.
@@ -92,6 +96,7 @@
   void EndBetweenRequests();
   void CloseOnceWritten();
   void ReadSoon();
+  void LimitReadAhead(std::size_t max_bytes);
   void Write(std::string_view text);
   void UpdateHeldBytes();
   evbuffer* input() const { return bufferevent_get_input(buffers_.get()); }
--- a/src/pipeline/admission_controller.cpp
+++ b/src/pipeline/admission_controller.cpp
@@ -15,6 +15,7 @@
 // Rejection reasons, sent to clients in the response body.
 constexpr char kDrainingReason[] = "draining";
 constexpr char kTableFullReason[] = "all places are taken";
+constexpr char kMemoryFullReason[] = "no memory for more messages";
 constexpr char kDiskFullReason[] = "no room on disk";
 constexpr char kTooManyIdsReason[] = "too many ids to remember";
 constexpr char kShedReason[] = "no room";
@@ -35,6 +36,10 @@
     Reject(requests, respond, {AdmissionStatus::kRejected, Duration(0), kTableFullReason});
     return;
   }
+  if (!HasMemoryFor(requests)) {
+    Reject(requests, respond, {AdmissionStatus::kRejected, Duration(0), kMemoryFullReason});
+    return;
+  }
   if (messages_.id_history().IsFull(clock_.Now())) {
     Reject(requests, respond, {AdmissionStatus::kRejected, kRetryAfter, kTooManyIdsReason});
     return;
@@ -59,6 +64,16 @@
   return pending_count + static_cast<int>(message_count) <= max_pending_messages_;
 }
 
+// Accepting new messages takes precedence over retaining completed ones, so these are removed first.
+bool AdmissionController::HasMemoryFor(std::span<const Request> requests) {
+  std::size_t bytes = 0;
+  for (const Request& request : requests) bytes += MessageTable::MemoryOf(request);
+  while (!messages_.memory().HasRoomFor(bytes)) {
+    if (!messages_.RemoveOldestRetained()) return false;
+  }
+  return true;
+}
+
 std::vector<const Message*> AdmissionController::AddMessages(std::vector<Request> requests) {
   const Time now = clock_.Now();
   std::vector<const Message*> messages;
@@ -117,7 +132,7 @@
 }
 
 bool AdmissionController::AcceptRedrive(Message message) {
-  if (!IsAccepting() || !HasCapacityFor(1)) return false;
+  if (!IsAccepting() || !HasCapacityFor(1) || !HasMemoryFor({&message.request, 1})) return false;
   const Message& added = messages_.Add(std::move(message));
   const Message* const messages[] = {&added};
   if (!journal_.AppendAccepted(messages)) {
--- a/src/pipeline/admission_controller.h
+++ b/src/pipeline/admission_controller.h
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <span>
 #include <vector>
 
 #include "core/dead_letter_sink.h"
@@ -75,6 +76,7 @@
 
   bool IsAccepting() const { return !is_accepting || is_accepting(); }
   bool HasCapacityFor(std::size_t message_count) const;
+  bool HasMemoryFor(std::span<const Request> requests);
   std::vector<const Message*> AddMessages(std::vector<Request> requests);
   bool AppendToJournal(const std::vector<const Message*>& messages);
   void RejectUnrecorded(const std::vector<const Message*>& messages, const AdmissionCallback& respond);
