Connections are served in turn, and the busiest give way when all places are taken

Cause: a connection handled all whole requests in its buffer in one turn, up to 800 of 40 bytes, and one that always has unread requests never gave way, so that 341 of them kept everybody else out.

Evidence: 400 connections that pipeline GET /healthz: 68 requests of sound clients in 5 s, 15 answered.

Change: one whole request a turn. When nobody gives way, the up to eight connections that carried most requests end with their next response (Connection: close), and new connections wait for them.

What is left open: new connections beside nothing but pipelining clients.

--- a/src/net/client_eviction.cpp
+++ b/src/net/client_eviction.cpp
@@ -95,6 +95,24 @@
   return is_any_about_to_complete;
 }
 
+void EndBusiestClients(const ClientMap& clients) {
+  static constexpr std::size_t kMaxEnding = 8;
+  std::vector<ServerConnection*> busiest;
+  std::size_t ending = 0;
+  for (const auto& [client, owned] : clients) {
+    if (client->gives_way() || client->is_closing()) {
+      ++ending;
+    } else if (client->has_sent_requests()) {
+      busiest.push_back(client);
+    }
+  }
+  std::ranges::sort(busiest, std::ranges::greater(), &ServerConnection::request_count);
+  for (ServerConnection* client : busiest) {
+    if (ending++ >= kMaxEnding) return;
+    client->GiveWayAfterResponse();
+  }
+}
+
 MemoryEviction FindClientToEvictForMemory(const ClientMap& clients, TimePoint now) {
   // A request on a connection that has carried others counts less, by this factor.
   constexpr double kLaterRequestWeight = 0.01;
--- a/src/net/client_eviction.h
+++ b/src/net/client_eviction.h
@@ -26,6 +26,10 @@
 // it gives way then.
 bool ShouldWaitForPlace(const ClientMap& clients, std::chrono::steady_clock::time_point now);
 
+// Makes some of the connections end with their next response, those that carried most requests first. For
+// when no connection gives way at once.
+void EndBusiestClients(const ClientMap& clients);
+
 // A connection that gives way because the clients' memory is full.
 struct MemoryEviction {
   ServerConnection* client = nullptr;  // null: none
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -134,8 +134,11 @@
 // the moment.
 void HttpServer::PauseAcceptingIfDue() {
   if (!listener_ || is_stopping_) return;
+  const auto now = std::chrono::steady_clock::now();
   const bool is_full = clients_.size() >= limits_.max_connections;
-  if (is_full && ShouldWaitForPlace(clients_, std::chrono::steady_clock::now())) {
+  const bool is_any_to_evict = !is_full || FindClientToEvict(clients_, now) != nullptr;
+  if (!is_any_to_evict) EndBusiestClients(clients_);
+  if (!is_any_to_evict || (is_full && ShouldWaitForPlace(clients_, now))) {
     evconnlistener_disable(listener_.get());
     is_waiting_for_place_ = true;
     accept_retry_timer_.Schedule(kFullRetryDelay);
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -197,7 +197,7 @@
   // Further requests that are already in the buffer are answered, too, unless this request itself asked to
   // close the connection.
   const bool ends_after = server_.is_closing_ || client_has_ended_ || ends_soon_;
-  const bool is_last = !keep_alive_ || (ends_after && !HasUnparsedBytes());
+  const bool is_last = !keep_alive_ || gives_way_ || (ends_after && !HasUnparsedBytes());
   if (open_request_) answered_requests_.Add(*open_request_);
   std::string text = StatusLine(status);
   for (const auto& [name, value] : headers) text.append(name).append(": ").append(value).append("\r\n");
@@ -254,12 +254,20 @@
   return client;
 }
 
-void ServerConnection::Read() {
+// Reads what is in the buffer, one whole request at most, so that connections are served in turn. Returns
+// whether it will be called again for what is left.
+bool ServerConnection::Read() {
   if (HasUnparsedBytes()) last_received_at_ = std::chrono::steady_clock::now();
+  const std::uint64_t handled = handled_requests_;
   while (!is_closing_ && !open_exchange() && HasUnparsedBytes()) {
-    if (!ReadStep()) return;
+    if (handled_requests_ != handled) {
+      ReadSoon();
+      return true;
+    }
+    if (!ReadStep()) return false;
   }
   if (is_closing_) DiscardInput();
+  return false;
 }
 
 // Reads one step of a request. Returns false if nothing more can be read before another event occurs.
@@ -279,6 +287,7 @@
       return true;
     case RequestReader::Step::kComplete:
       if (CloseIfFailed()) return false;
+      ++handled_requests_;
       HandleRequest();
       return true;
     case RequestReader::Step::kRejected:
@@ -413,13 +422,17 @@
 
 void ServerConnection::OnReadable(bufferevent*, void* self) {
   auto* connection = static_cast<ServerConnection*>(self);
-  connection->Read();
+  const bool reads_on = connection->Read();
+  if (connection->buffers_ == nullptr) return;
+  if (connection->client_has_ended_ && !reads_on && connection->HasNoPendingResponse()) {
+    return connection->server_.Close(*connection, HttpServer::CloseReason::kEndedByClient);
+  }
   connection->UpdateHeldBytes();
 }
 
 void ServerConnection::OnOutputDrained(bufferevent*, void* self) {
   auto* connection = static_cast<ServerConnection*>(self);
-  if (!connection->is_closing_) return connection->Read();
+  if (!connection->is_closing_) return OnReadable(nullptr, self);
   // The connection is closed when the client closes its side, or by timer_.
   ::shutdown(connection->socket(), SHUT_WR);
   if (!connection->client_has_ended_) return connection->timer_.Schedule(kLingerTime);
@@ -440,7 +453,7 @@
 // A client that has shut down its sending side may still read the responses to its complete requests.
 void ServerConnection::OnEndOfInput() {
   client_has_ended_ = true;
-  if (HasNoPendingResponse()) Read();
+  if (HasNoPendingResponse() && Read()) return;
   if (buffers_ == nullptr || !HasNoPendingResponse()) return;
   server_.Close(*this, HttpServer::CloseReason::kEndedByClient);
 }
--- a/src/net/server_connection.h
+++ b/src/net/server_connection.h
@@ -41,6 +41,11 @@
   // bytes of a request have already arrived, does nothing and returns false, so that the request is answered
   // first.
   bool CloseGracefully();
+  // Makes the next response the last one, whatever requests follow it.
+  void GiveWayAfterResponse() { gives_way_ = true; }
+  bool gives_way() const { return gives_way_; }
+  // The whole requests that the connection carried.
+  std::uint64_t request_count() const { return request_count_; }
   // Ends the open exchange without a response; see Exchange::Drop().
   void DropRequest(const Exchange& exchange);
   // Sends the response to the open exchange.
@@ -83,7 +88,7 @@
   void OnTimeout();
   void OnEndOfInput();
   void OnSocketEvent(short events);
-  void Read();
+  bool Read();
   bool ReadStep();
   bool CloseIfFailed();
   bool ReadSocket();
@@ -117,9 +122,11 @@
   bool has_sent_requests_ = false;
   bool is_closing_ = false;        // no further request is read
   bool ends_soon_ = false;         // the connection is ended as soon as no request is open
+  bool gives_way_ = false;         // the next response ends the connection
   bool keep_alive_ = true;         // the open request allows further requests on the connection
   bool client_has_ended_ = false;  // the client has shut down its sending side
   std::uint64_t request_count_ = 0;
+  std::uint64_t handled_requests_ = 0;  // with those that were dropped as copies, or rejected
   std::size_t open_request_bytes_ = 0;  // of the open exchange
   std::size_t held_bytes_ = 0;          // as reported to the server's ClientMemory
   std::size_t discarded_bytes_ = 0;
