New connections find a place beside clients that never read, or pipeline without a pause

Cause: a connection whose client does not take its last response stood for 3 s and counted as one that is ending, so the busiest were not asked to end; 8 at a time and 16 accepted a round left fewer places than the crowd asked for.

Change: a last response that is not taken for 0.2 s gives way when all places are taken; up to 32 connections end at a time; 64 are accepted a round.

--- a/src/net/client_eviction.cpp
+++ b/src/net/client_eviction.cpp
@@ -18,6 +18,9 @@
 // A client that is idle for longer than this does not use its connection all the time.
 constexpr auto kLongIdleTime = std::chrono::milliseconds(500);
 
+// A client that has not taken its last response for this long does not read.
+constexpr auto kLastResponseTimeout = std::chrono::milliseconds(200);
+
 enum class Rank {
   kNeverUsed,
   kClosing,
@@ -52,12 +55,18 @@
   return is_silent ? Rank::kInFirstRequest : Rank::kAboutToComplete;
 }
 
+bool MayGiveWay(const ServerConnection& client, TimePoint now) {
+  if (client.HasNoPendingResponse()) return true;
+  return client.is_closing() && client.open_exchange() == nullptr &&
+         client.idle_since() + kLastResponseTimeout < now;
+}
+
 // The candidates without regard to unread bytes, as a heap with the first one on top.
 std::vector<Candidate> FindCandidates(const ClientMap& clients, TimePoint now) {
   std::vector<Candidate> candidates;
   candidates.reserve(clients.size());
   for (const auto& [client, owned] : clients) {
-    if (!client->HasNoPendingResponse()) continue;
+    if (!MayGiveWay(*client, now)) continue;
     candidates.push_back({RankOf(*client, now), client->last_received_at(), client});
   }
   std::ranges::make_heap(candidates, IsAfter);
@@ -87,7 +96,7 @@
 bool ShouldWaitForPlace(const ClientMap& clients, TimePoint now) {
   bool is_any_about_to_complete = false;
   for (const auto& [client, owned] : clients) {
-    if (!client->HasNoPendingResponse()) continue;
+    if (!MayGiveWay(*client, now)) continue;
     const Rank rank = RankOf(*client, now);
     if (rank < Rank::kAboutToComplete) return false;
     is_any_about_to_complete |= rank == Rank::kAboutToComplete;
@@ -96,11 +105,12 @@
 }
 
 void EndBusiestClients(const ClientMap& clients) {
-  static constexpr std::size_t kMaxEnding = 8;
+  static constexpr std::size_t kMaxEnding = 32;
   std::vector<ServerConnection*> busiest;
   std::size_t ending = 0;
   for (const auto& [client, owned] : clients) {
-    if (client->gives_way() || client->is_closing()) {
+    if (client->is_closing()) continue;
+    if (client->gives_way()) {
       ++ending;
     } else if (client->has_sent_requests()) {
       busiest.push_back(client);
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -25,7 +25,7 @@
 // While all places are taken by connections that keep theirs for the moment, accepting resumes after this.
 constexpr Duration kFullRetryDelay = std::chrono::milliseconds(5);
 // So many connections are accepted in one iteration of the loop.
-constexpr int kMaxAcceptsPerRound = 16;
+constexpr int kMaxAcceptsPerRound = 64;
 // While StopListening() accepts the queued connections, it retries this often at this interval after
 // accepting has failed.
 constexpr Duration kAcceptQueueRetryDelay = std::chrono::milliseconds(10);
@@ -109,7 +109,8 @@
   ServerConnection* const client = FindClientToEvict(clients_, std::chrono::steady_clock::now());
   if (client == nullptr) return false;
   if (client->is_closing()) {
-    Close(*client, CloseReason::kResponseRead);
+    const bool is_read = client->HasNoPendingResponse();
+    Close(*client, is_read ? CloseReason::kResponseRead : CloseReason::kResponseNotRead);
     return true;
   }
   const bool is_in_request = client->RejectPartialRequest();
