A call is not written to an endpoint's former address on a connection that comes up late

Cause: EndpointPool::UpdateEndpoint closed the idle connections when an endpoint's address changed. A connection that was still being established to the old address went on, and its call was written to whoever answered there, up to the connect timeout later. A drain or a removal already ended such calls.

Evidence: ACallOnALateConnectionIsWrittenOnlyWhileAllowed with a changed address failed: the call was written.

Change: calls that are not written end as not sent when the address changes, and are tried again at the new one. Connections in use were safe: one that was opened to another address is not used again (EndpointConnection compares the address it opened).

--- a/src/net/endpoint_pool.cpp
+++ b/src/net/endpoint_pool.cpp
@@ -34,6 +34,7 @@
   if (update.record.state != EndpointRecord::State::kUp) CancelUnsentCallsTo(endpoint);
   if (endpoint.address_text == update.address) return;
   CloseIdleConnections(update.record.endpoint);
+  CancelUnsentCallsTo(endpoint);
   endpoint.address_text = update.address;
   endpoint.address = ToSocketAddress(ParseAddress(update.address, "endpoint")).value();
 }
--- a/tests/net/endpoint_pool_fixture.h
+++ b/tests/net/endpoint_pool_fixture.h
@@ -56,11 +56,12 @@
       provisional_outcomes[result.message_number] = result.outcome;
     };
   }
-  void SetState(EndpointRecord::State state) {
+  void SetState(EndpointRecord::State state) { SetState(state, endpoint.port()); }
+  void SetState(EndpointRecord::State state, std::uint16_t port) {
     EndpointUpdate update;
     update.record.endpoint = "s";
     update.record.state = state;
-    update.address = At(endpoint.port());
+    update.address = At(port);
     pool.UpdateEndpoint(update);
   }
   void Call(std::uint64_t number, Duration timeout = 5s, std::optional<Duration> write_within = {}) {
--- a/tests/net/endpoint_pool_races_test.cpp
+++ b/tests/net/endpoint_pool_races_test.cpp
@@ -166,16 +166,19 @@
 }
 
 // A call whose connection is established late is not written if its write timeout has passed, or if its
-// endpoint drains or was removed in the meantime. Otherwise it is written, however late.
+// endpoint drains, was removed or has another address in the meantime. Otherwise it is written, however late.
 void ACallOnALateConnectionIsWrittenOnlyWhileAllowed() {
-  enum class Change { kWriteDeadline, kDraining, kRemoved, kNone };
-  for (const Change change : {Change::kWriteDeadline, Change::kDraining, Change::kRemoved, Change::kNone}) {
+  enum class Change { kWriteDeadline, kDraining, kRemoved, kMoved, kNone };
+  for (const Change change :
+       {Change::kWriteDeadline, Change::kDraining, Change::kRemoved, Change::kMoved, Change::kNone}) {
     PoolFixture fixture;
     fixture.endpoint.StallConnects();
     fixture.Call(1, 5s, change == Change::kWriteDeadline ? std::optional<Duration>(300ms) : std::nullopt);
     RunFor(fixture.loop, 1ms);  // the pool begins to connect
     if (change == Change::kDraining) fixture.SetState(EndpointRecord::State::kDraining);
     if (change == Change::kRemoved) fixture.pool.RemoveEndpoint("s");
+    const RawEndpoint new_endpoint;
+    if (change == Change::kMoved) fixture.SetState(EndpointRecord::State::kUp, new_endpoint.port());
     if (change != Change::kNone) assert(fixture.WaitForOutcome(1) == Outcome::kNotSent);
     fixture.endpoint.ResumeConnects();
     if (change != Change::kNone) continue;
