One client leaves places for the messages of others

Cause: the places for messages are limited in sum (mostHeld). Whoever asks most often gets each place that becomes free.

Change: a client may hold eight times as many messages as places are free (a dynamic threshold): one client alone eight ninths, ten that ask alike 98.8% together. A client is a connection, because behind a front all clients have one address. Messages of an earlier process are not counted by client.

--- a/src/core/message.h
+++ b/src/core/message.h
@@ -93,6 +93,7 @@
   Duration retry_after{0};            // kRejected: after which time the client may submit it again
   Time completed_at{0};               // when the final status was set
   bool notification_pending = false;  // the client must be notified, and has not acknowledged that yet
+  std::uint64_t client = 0;           // who submitted it to this process; 0: not known
   bool is_response_sent = true;       // false while the client waits for the response to its submission
 
   // Used only if dead letters are configured.
--- a/src/core/message_table.cpp
+++ b/src/core/message_table.cpp
@@ -32,7 +32,7 @@
   next_number_ = std::max(next_number_, message.number + 1);
   const std::uint64_t number = message.number;
   numbers_by_key_[MakeDeduplicationKey(message.request)] = number;
-  if (IsPending(message)) ++pending_count_;
+  if (IsPending(message)) CountPending(message, 1);
   if (const Message* replaced = Find(number)) memory_.Remove(MemoryOf(replaced->request));
   memory_.Add(MemoryOf(message.request));
   Message& added = messages_.insert_or_assign(number, std::move(message)).first->second;
@@ -41,6 +41,19 @@
   return added;
 }
 
+void MessageTable::CountPending(const Message& message, int change) {
+  pending_count_ += change;
+  if (message.client == 0) return;
+  const auto entry = pending_by_client_.try_emplace(message.client, 0).first;
+  entry->second += change;
+  if (entry->second == 0) pending_by_client_.erase(entry);
+}
+
+int MessageTable::PendingCountOf(std::uint64_t client) const {
+  const auto found = pending_by_client_.find(client);
+  return found == pending_by_client_.end() ? 0 : found->second;
+}
+
 Message* MessageTable::Find(std::uint64_t number) {
   const auto found = messages_.find(number);
   return found == messages_.end() ? nullptr : &found->second;
@@ -63,7 +76,7 @@
   const bool has_waiting_client = message.redrive_number == 0;
   message.notification_pending =
       has_waiting_client && (final_status == FinalStatus::kFailed || final_status == FinalStatus::kRejected);
-  --pending_count_;
+  CountPending(message, -1);
   if (IsRetainedAfterCompletion(message) && !message.dead_letter_pending) Retain(message);
 }
 
@@ -100,7 +113,7 @@
   if (on_message_removed) on_message_removed(message);
   const auto key = numbers_by_key_.find(MakeDeduplicationKey(message.request));
   if (key != numbers_by_key_.end() && key->second == number) numbers_by_key_.erase(key);
-  if (IsPending(message)) --pending_count_;
+  if (IsPending(message)) CountPending(message, -1);
   if (message.is_delivery_unconfirmed) --unconfirmed_count_;
   memory_.Remove(MemoryOf(message.request));
   messages_.erase(found);
--- a/src/core/message_table.h
+++ b/src/core/message_table.h
@@ -53,6 +53,8 @@
 
   // The number of messages that have not completed yet.
   int pending_count() const { return pending_count_; }
+  // The number of pending messages of one client.
+  int PendingCountOf(std::uint64_t client) const;
   // The number of pending messages whose delivery is unconfirmed.
   int unconfirmed_count() const { return unconfirmed_count_; }
   // The memory that the messages take up.
@@ -98,6 +100,7 @@
     std::uint64_t number = 0;
   };
 
+  void CountPending(const Message& message, int change);
   void Retain(const Message& message);
   // Returns the end if every retained message must be kept.
   std::deque<RetainedMessage>::iterator FindOldestRemovable();
@@ -110,6 +113,7 @@
   MemoryAccount memory_;
   std::uint64_t next_number_ = 1;
   int pending_count_ = 0;
+  std::unordered_map<std::uint64_t, int> pending_by_client_;  // without clients that have none
   int unconfirmed_count_ = 0;
 };
 
--- a/src/frontend/frontend.cpp
+++ b/src/frontend/frontend.cpp
@@ -16,7 +16,7 @@
     RespondBadRequest(*exchange, error.what());
     return;
   }
-  validator_.Submit(std::move(requests), MakeResponder(exchange));
+  validator_.Submit(std::move(requests), MakeResponder(exchange), exchange->client_id());
 }
 
 }  // namespace sagetally
--- a/src/net/client_memory.h
+++ b/src/net/client_memory.h
@@ -4,6 +4,7 @@
 #define SAGETALLY_SRC_NET_CLIENT_MEMORY_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <limits>
 #include <vector>
@@ -40,6 +41,9 @@
   // Replaces what a connection holds. May close connections, the one that reports among them.
   void Update(std::size_t old_bytes, std::size_t new_bytes);
 
+  // Returns an id for a new connection, different from those of all servers.
+  std::uint64_t NextClientId() { return next_client_id_++; }
+
   // Called when the share is full. May be empty.
   std::function<void()> on_full;
 
@@ -50,6 +54,7 @@
   MemoryAccount account_;
   std::vector<ClientMemoryHolder*> holders_;
   bool is_reclaiming_ = false;
+  std::uint64_t next_client_id_ = 1;
 };
 
 }  // namespace sagetally
--- a/src/net/http_exchange.h
+++ b/src/net/http_exchange.h
@@ -34,6 +34,9 @@
   const std::string& body() const { return body_; }
   // The number of the request's connection, which is unique within its server.
   std::uint64_t connection_number() const { return connection_number_; }
+  // Identifies the request's client among those of the process, whatever server it uses; not 0. A client is a
+  // connection, because behind a front all have the same address.
+  std::uint64_t client_id() const { return client_id_; }
   // Returns whether this is the first request on its connection.
   bool is_first_request() const { return is_first_request_; }
   // Returns whether no response can be sent any more, because one was sent or the connection has closed.
@@ -55,6 +58,7 @@
 
   ServerConnection* client_;
   std::uint64_t connection_number_ = 0;
+  std::uint64_t client_id_ = 0;
   bool is_first_request_ = false;
   bool is_repeated_ = false;
   std::string method_;
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -102,6 +102,7 @@
                                    const HttpServer::TransferredClient* transferred)
     : server_(server),
       number_(server.next_connection_number_++),
+      client_id_(server.memory_.NextClientId()),
       buffers_(bufferevent_socket_new(server.loop_.base(), socket, BEV_OPT_CLOSE_ON_FREE)),
       resumer_(server.loop_, buffers_.get()),
       timer_(server.loop_, [this] { OnTimeout(); }),
@@ -349,6 +350,7 @@
   auto exchange = std::make_shared<Exchange>(this, ToString(request.method_string()), PathOf(request),
                                              HeadersOf(request), std::move(request.body()));
   exchange->connection_number_ = number_;
+  exchange->client_id_ = client_id_;
   exchange->is_first_request_ = is_first_request;
   exchange_ = exchange;
   server_.handler_(std::move(exchange));
--- a/src/net/server_connection.h
+++ b/src/net/server_connection.h
@@ -112,6 +112,7 @@
 
   HttpServer& server_;
   const std::uint64_t number_;
+  const std::uint64_t client_id_;
   BufferEventPtr buffers_;  // null once closed
   TransferResumer resumer_;
   Timer timer_;  // limits the time for the request that is awaited or being read, or for the close
--- a/src/net/size_only_body.h
+++ b/src/net/size_only_body.h
@@ -11,7 +11,8 @@
 
 namespace sagetally {
 
-// Fulfils Beast's requirements of a Body that can be parsed.
+// Fulfils Beast's requirements of a Body that can be parsed, which prescribe these names.
+// NOLINTBEGIN(readability-identifier-naming)
 struct SizeOnlyBody {
   using value_type = std::size_t;  // the number of bytes, without the framing of chunks
 
@@ -36,6 +37,7 @@
     value_type& size_;
   };
 };
+// NOLINTEND(readability-identifier-naming)
 
 }  // namespace sagetally
 
--- a/src/pipeline/admission_controller.cpp
+++ b/src/pipeline/admission_controller.cpp
@@ -16,6 +16,7 @@
 constexpr char kDrainingReason[] = "draining";
 constexpr char kTableFullReason[] = "all places are taken";
 constexpr char kMemoryFullReason[] = "no memory for more messages";
+constexpr char kClientShareReason[] = "the other places are kept for other clients";
 constexpr char kDiskFullReason[] = "no room on disk";
 constexpr char kTooManyIdsReason[] = "too many ids to remember";
 constexpr char kShedReason[] = "no room";
@@ -23,7 +24,7 @@
 }  // namespace
 
 void AdmissionController::Accept(std::vector<Request> requests, std::vector<std::uint64_t> awaited,
-                                 AdmissionCallback respond) {
+                                 AdmissionCallback respond, std::uint64_t client) {
   if (requests.empty()) {
     waiting_clients_.push_back({std::move(awaited), std::move(respond), true});
     return;
@@ -36,6 +37,10 @@
     Reject(requests, respond, {AdmissionStatus::kRejected, Duration(0), kTableFullReason});
     return;
   }
+  if (!IsWithinClientShare(client, requests.size())) {
+    Reject(requests, respond, {AdmissionStatus::kRejected, Duration(0), kClientShareReason});
+    return;
+  }
   if (!HasMemoryFor(requests)) {
     Reject(requests, respond, {AdmissionStatus::kRejected, Duration(0), kMemoryFullReason});
     return;
@@ -44,7 +49,7 @@
     Reject(requests, respond, {AdmissionStatus::kRejected, kRetryAfter, kTooManyIdsReason});
     return;
   }
-  const std::vector<const Message*> messages = AddMessages(std::move(requests));
+  const std::vector<const Message*> messages = AddMessages(std::move(requests), client);
   if (!AppendToJournal(messages)) {
     RejectUnrecorded(messages, respond);
     return;
@@ -64,6 +69,15 @@
   return pending_count + static_cast<int>(message_count) <= max_pending_messages_;
 }
 
+// A dynamic threshold: the fewer places are free, the fewer one client may hold, so that some are left for
+// the others however many it asks for. Clients that hold a like number are hardly limited.
+bool AdmissionController::IsWithinClientShare(std::uint64_t client, std::size_t message_count) const {
+  static constexpr int kMaxMultipleOfFree = 8;
+  if (client == 0) return true;
+  const int free = max_pending_messages_ - (messages_.pending_count() - messages_.unconfirmed_count());
+  return messages_.PendingCountOf(client) + static_cast<int>(message_count) <= kMaxMultipleOfFree * free;
+}
+
 // Accepting new messages takes precedence over retaining completed ones, so these are removed first.
 bool AdmissionController::HasMemoryFor(std::span<const Request> requests) {
   std::size_t bytes = 0;
@@ -74,7 +88,8 @@
   return true;
 }
 
-std::vector<const Message*> AdmissionController::AddMessages(std::vector<Request> requests) {
+std::vector<const Message*> AdmissionController::AddMessages(std::vector<Request> requests,
+                                                             std::uint64_t client) {
   const Time now = clock_.Now();
   std::vector<const Message*> messages;
   for (Request& request : requests) {
@@ -82,6 +97,7 @@
     message.deadline = now + request.time_left;
     message.request = std::move(request);
     message.is_response_sent = false;
+    message.client = client;
     if (dead_letters_ != nullptr) message.accepted_at = now;
     messages.push_back(&messages_.Add(std::move(message)));
   }
--- a/src/pipeline/admission_controller.h
+++ b/src/pipeline/admission_controller.h
@@ -44,7 +44,9 @@
   // the requests are rejected, otherwise by RespondToWaitingClients(). `awaited` are messages of earlier
   // submissions whose response is still pending and which this submission repeats; its response comes with
   // theirs. If `requests` is empty, the submission only repeats others.
-  void Accept(std::vector<Request> requests, std::vector<std::uint64_t> awaited, AdmissionCallback respond);
+  // `client` tells clients apart; 0: not known.
+  void Accept(std::vector<Request> requests, std::vector<std::uint64_t> awaited, AdmissionCallback respond,
+              std::uint64_t client = 0);
   // Rejects all requests of a submission with `result`.
   void Reject(const std::vector<Request>& requests, const AdmissionCallback& respond,
               const AdmissionResult& result);
@@ -76,8 +78,9 @@
 
   bool IsAccepting() const { return !is_accepting || is_accepting(); }
   bool HasCapacityFor(std::size_t message_count) const;
+  bool IsWithinClientShare(std::uint64_t client, std::size_t message_count) const;
   bool HasMemoryFor(std::span<const Request> requests);
-  std::vector<const Message*> AddMessages(std::vector<Request> requests);
+  std::vector<const Message*> AddMessages(std::vector<Request> requests, std::uint64_t client);
   bool AppendToJournal(const std::vector<const Message*>& messages);
   void RejectUnrecorded(const std::vector<const Message*>& messages, const AdmissionCallback& respond);
 
--- a/src/pipeline/request_validator.cpp
+++ b/src/pipeline/request_validator.cpp
@@ -42,7 +42,8 @@
   return "invalid request";
 }
 
-void RequestValidator::Submit(std::vector<Request> requests, AdmissionCallback respond) {
+void RequestValidator::Submit(std::vector<Request> requests, AdmissionCallback respond,
+                              std::uint64_t client) {
   for (const Request& request : requests) {
     if (const std::optional<RequestError> error = FindError(request)) {
       respond({AdmissionStatus::kInvalid, Duration(0), std::string(DescribeRequestError(*error))});
@@ -67,7 +68,8 @@
                       {AdmissionStatus::kRejected, Duration(0), kUnknownDestinationReason});
     return;
   }
-  admission_.Accept(std::move(submission.requests), std::move(submission.awaited), std::move(respond));
+  admission_.Accept(std::move(submission.requests), std::move(submission.awaited), std::move(respond),
+                    client);
 }
 
 // Ids and keys must be UTF-8, because notifications, logs and operators' reports pass them on as JSON.
--- a/src/pipeline/request_validator.h
+++ b/src/pipeline/request_validator.h
@@ -54,7 +54,8 @@
   // Submits the requests of one client, of which either all are accepted or none. `respond` is called exactly
   // once, during this call or later. A request that came before makes no second message: its response repeats
   // the earlier one or comes together with it.
-  void Submit(std::vector<Request> requests, AdmissionCallback respond);
+  // `client` tells clients apart, so that none takes all places; 0: not known.
+  void Submit(std::vector<Request> requests, AdmissionCallback respond, std::uint64_t client = 0);
 
  private:
   std::optional<RequestError> FindError(const Request& request) const;
