A new connection whose request is still unread does not give way to a newer one

Connections that were handed over counted as active since the handover, so that no idle one came first.

Evidence: no connection and no queued one was left in the serving process while the test waited for a response; the log has `evicted requests=0 held=4096`. AConnectionWithAnUnreadRequestDoesNotGiveWayForANewerOne failed before.

A connection that was handed over keeps the time since which it is idle.

--- a/src/net/client_eviction.cpp
+++ b/src/net/client_eviction.cpp
@@ -26,8 +26,8 @@
   kClosing,
   kLongIdle,
   kInFirstRequest,
-  kAboutToComplete,  // the first request
   kIdle,
+  kAboutToComplete,  // the first request
   kInLaterRequest
 };
 
@@ -84,11 +84,11 @@
     std::ranges::pop_heap(candidates, IsAfter);
     const Candidate candidate = candidates.back();
     candidates.pop_back();
-    if (candidate.rank >= Rank::kIdle && with_unread_bytes != nullptr) break;
+    if (candidate.rank > Rank::kInFirstRequest && with_unread_bytes != nullptr) break;
     if (candidate.rank == Rank::kClosing || !candidate.client->HasUnreadBytes()) return candidate.client;
-    const bool is_in_first_request =
-        candidate.rank == Rank::kInFirstRequest || candidate.rank == Rank::kAboutToComplete;
-    if (is_in_first_request && with_unread_bytes == nullptr) with_unread_bytes = candidate.client;
+    const bool is_answered =
+        candidate.rank == Rank::kInFirstRequest && candidate.client->is_reading_request();
+    if (is_answered && with_unread_bytes == nullptr) with_unread_bytes = candidate.client;
   }
   return with_unread_bytes;
 }
@@ -98,7 +98,7 @@
   for (const auto& [client, owned] : clients) {
     if (!MayGiveWay(*client, now)) continue;
     const Rank rank = RankOf(*client, now);
-    if (rank < Rank::kAboutToComplete) return false;
+    if (rank < Rank::kIdle) return false;
     is_any_about_to_complete |= rank == Rank::kAboutToComplete;
   }
   return is_any_about_to_complete;
--- a/src/net/client_eviction.h
+++ b/src/net/client_eviction.h
@@ -16,14 +16,14 @@
 
 // Returns the connection that gives way to a new one, or null if none does. In this order: those that have
 // sent nothing for a while, those that are closing, those that have been idle for long, those within their
-// first request, idle ones, those within a later request; of each, the one that has been silent longest. No
-// connection gives way whose request is being answered, whose response is not completely written, or that is
-// between two requests and has unread bytes.
+// first request, idle ones, new ones, those within a later request; of each, the one that has been silent
+// longest. No connection gives way whose request is being answered, whose response is not completely written,
+// or that is between two requests and has unread bytes.
 ServerConnection* FindClientToEvict(const ClientMap& clients, std::chrono::steady_clock::time_point now);
 
-// Returns whether a new connection should wait for its place: a connection within its first request, which
-// would give way before idle ones, has sent something just now. Either its request is complete in a moment or
-// it gives way then.
+// Returns whether a new connection should wait for its place, so that no idle connection gives way: one that
+// is within its first request has sent something just now. Either its request is complete in a moment, or it
+// gives way then.
 bool ShouldWaitForPlace(const ClientMap& clients, std::chrono::steady_clock::time_point now);
 
 // Makes some of the connections end with their next response, those that carried most requests first. For
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -122,6 +122,7 @@
 void ServerConnection::ResumeTransferred(const HttpServer::TransferredClient& transferred) {
   has_sent_requests_ = transferred.has_sent_requests;
   idle_since_ -= transferred.age;
+  last_received_at_ = idle_since_;
   if (has_sent_requests_) {
     timer_.Schedule(kIdleTimeout);
   } else {
--- a/tests/net/http_server_races_test.cpp
+++ b/tests/net/http_server_races_test.cpp
@@ -42,6 +42,17 @@
   assert(client.ResponseCount() == 1 && fixture.request_count == 1);
 }
 
+// Guards against a new connection that gives way, without a response, with its request unread in the socket.
+void AConnectionWithAnUnreadRequestDoesNotGiveWayForANewerOne() {
+  ServerFixture fixture(2);
+  Client& idle = fixture.ConnectAnswered();
+  Client& older = fixture.Connect(kRequest);
+  Client& newer = fixture.Connect(kRequest);
+  fixture.server.StopListening();  // accepts both before the loop reads anything
+  RunUntil(fixture.loop, [&] { return older.ResponseCount() == 1 && newer.ResponseCount() == 1; });
+  fixture.WaitForEnd(idle);
+}
+
 // An idle connection is closed without a reset after the idle timeout. A connection on which a request has
 // arrived by then is not idle.
 void AnIdleConnectionTimesOutWithoutAReset() {
@@ -234,6 +245,7 @@
   AResponseNotYetWrittenIsSentAtShutdown();
   AnUnreadRequestIsAnsweredAtShutdown();
   ARequestSentAfterTheShutdownIsNotHandled();
+  AConnectionWithAnUnreadRequestDoesNotGiveWayForANewerOne();
   AnIdleConnectionTimesOutWithoutAReset();
   StopListeningServesQueuedConnections();
   BytesAfterTheLastRequestDoNotCauseAReset();
@@ -244,5 +256,5 @@
   ARepeatedRequestWithoutAnIdEndsTheConnection();
   UnreadableBytesDoNotAnswerTheNextRequest();
   ShutdownAnswersEveryRequestReceived();
-  std::puts("13 passed, 0 failed");
+  std::puts("14 passed, 0 failed");
 }
