--- a/review/standins-2/upgrade.h
+++ b/review/standins-2/upgrade.h
@@ -10,7 +10,7 @@
 struct Upgrade {
   Settings old_settings;
   Settings new_settings;
-  std::string new_node_file = {};  // the operator's file of the new process; empty: none
+  bool judges_payments = true;  // whether the messages of class pagamento are judged, too
 };
 
 constexpr int kClump = 40;
@@ -37,7 +37,7 @@
   }
 
   Sleep(0.1);
-  Dispatcher::Start new_start = dispatcher.Run(day.new_settings, day.new_node_file);
+  Dispatcher::Start new_start = dispatcher.Run(day.new_settings);
   Process& new_process = *new_start.process;
   const bool is_ready = WaitUntilReady(new_process, new_start.admin_port, 6);
   Log().Write("new process: %s", is_ready ? "says yes" : "never said yes");
@@ -62,6 +62,9 @@
   }
   Log().Write("GET /healthz at the clients' address: %d (0: no answer)", AskHealth(dispatcher.port()));
 
+  if (!day.judges_payments) {
+    std::erase_if(messages, [](const Handed& message) { return message.message_class == "pagamento"; });
+  }
   const int lost = CountLost(messages, agent, {&partner});
   Log().Append("log of the old process", old_process.log_path());
   Log().Append("log of the new process", new_process.log_path());
