--- a/review/standins-2/world.h
+++ b/review/standins-2/world.h
@@ -565,8 +565,7 @@
 class Dispatcher {
  public:
   Dispatcher(std::string root, Agent& agent) : root_(std::move(root)), agent_(agent) {
-    const char* base = std::getenv("TMPDIR");
-    std::string path = std::string(base != nullptr ? base : "/tmp") + "/sagetally-review-XXXXXX";
+    std::string path = std::filesystem::temp_directory_path().string() + "/sagetally-review-XXXXXX";
     if (mkdtemp(path.data()) == nullptr) CouldNotRun("no temporary folder");
     folder_ = path;
     std::filesystem::create_directory(folder_ + "/state");
