An event that comes again on its kept connection gets a response

Fix: a repetition gets no response only if it can be nothing but a copy: its unique id was answered (and not with 504), it arrived before the response to its original was written, or more has arrived behind it ("Clients send one request at a time on a connection").

--- a/src/app/client_servers.cpp
+++ b/src/app/client_servers.cpp
@@ -41,6 +41,7 @@
           cloudevents_frontend_.Handle(exchange);
         },
         received != nullptr ? std::move(received->cloudevents_listener) : FileDescriptor(), &memory_);
+    cloudevents_server_->SetRequestIdentification(RequestIdentification::kByContent);
     request_log_.Observe(*cloudevents_server_);
     log_.Info("cloudevents.ready",
               {{"host", node_file_.cloudevents->listen.host}, {"port", cloudevents_server_->port()}});
--- a/src/app/forwarder.cpp
+++ b/src/app/forwarder.cpp
@@ -71,6 +71,7 @@
                          CloudEventsFrontend::kMaxHeadBytes},
       [this](const std::shared_ptr<Exchange>& exchange) { OnCloudEventsRequest(exchange); }, FileDescriptor(),
       &memory_.clients());
+  cloudevents_server_->SetRequestIdentification(RequestIdentification::kByContent);
   log_.Info(
       "ready",
       {{"name", config_.name}, {"role", "forwarder"}, {"port", port()}, {"events_port", cloudevents_port()}});
--- a/src/frontend/http_response.cpp
+++ b/src/frontend/http_response.cpp
@@ -37,29 +37,23 @@
   return std::to_string(milliseconds / 1000) + "." + std::string(3 - fraction.size(), '0') + fraction;
 }
 
-void Respond(Exchange& exchange, const AdmissionResult& result) {
+bool Respond(Exchange& exchange, const AdmissionResult& result) {
   Exchange::Headers headers;
   const bool may_be_resubmitted =
       result.status == AdmissionStatus::kRejected || result.status == AdmissionStatus::kShuttingDown;
   if (may_be_resubmitted && result.retry_after > Duration(0)) {
     headers.emplace_back("Retry-After", FormatRetryAfter(result.retry_after));
   }
-  exchange.Respond(StatusCode(result.status), result.reason.empty() ? "" : result.reason + "\n", headers);
+  return exchange.Respond(StatusCode(result.status), result.reason.empty() ? "" : result.reason + "\n",
+                          headers);
 }
 
 }  // namespace
 
 AdmissionCallback MakeResponder(std::shared_ptr<Exchange> exchange) {
   return [exchange = std::move(exchange)](const AdmissionResult& result) {
-    if (exchange->is_closed()) return false;
     if (result.is_repeat) exchange->MarkRepeated();
-    // A client sends a request again on a new connection only.
-    if (result.is_repeat && !exchange->is_first_request()) {
-      exchange->Drop();
-      return false;
-    }
-    Respond(*exchange, result);
-    return true;
+    return Respond(*exchange, result);
   };
 }
 
--- a/src/net/http_exchange.cpp
+++ b/src/net/http_exchange.cpp
@@ -15,13 +15,13 @@
 
 bool Exchange::Respond(int code, const std::string& body, const Headers& headers) {
   if (is_closed()) return false;
-  std::exchange(client_, nullptr)->SendResponse(code, body, headers);
+  ServerConnection* const client = std::exchange(client_, nullptr);
+  if (is_repeated_ && !client->MayAwaitResponse(*this)) {
+    client->DropRequest(*this);
+    return false;
+  }
+  client->SendResponse(code, body, headers);
   return true;
 }
 
-void Exchange::Drop() {
-  if (is_closed()) return;
-  std::exchange(client_, nullptr)->DropRequest(*this);
-}
-
 }  // namespace sagetally
--- a/src/net/http_exchange.h
+++ b/src/net/http_exchange.h
@@ -41,17 +41,15 @@
   bool is_first_request() const { return is_first_request_; }
   // Returns whether no response can be sent any more, because one was sent or the connection has closed.
   bool is_closed() const { return client_ == nullptr; }
-  // Sends the response. Returns false and does nothing if is_closed(). Adds Content-Length and Connection to
-  // `headers`.
+  // Sends the response. Adds Content-Length and Connection to `headers`. Returns false if the client gets no
+  // response: because of is_closed(), or because the request is a copy (see MarkRepeated()).
   bool Respond(int code, const std::string& body = "", const Headers& headers = {});
-  // Marks the request as a copy of one that has its answer already, for the log.
+  // Marks the request as a repetition of one that has its answer already. Either its client has submitted it
+  // again and waits for a response, or something on its way has made a copy, whose response the client would
+  // take for that to its next request. If it can only be a copy, it gets no response, and the connection is
+  // ended between two requests. Otherwise it gets a response that ends the connection.
   void MarkRepeated() { is_repeated_ = true; }
   bool is_repeated() const { return is_repeated_; }
-  // Ends the exchange without a response, because the client has had one: the request is a copy that
-  // something on its way made. A response would be taken for that to the client's next request. The
-  // connection is ended between two requests, so that a client that does wait sends its request once more on
-  // a new one. Does nothing if is_closed().
-  void Drop();
 
  private:
   friend class ServerConnection;
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -19,6 +19,7 @@
 #include "net/deferred_deleter.h"
 #include "net/event_loop.h"
 #include "net/http_exchange.h"
+#include "net/request_identity.h"
 
 namespace sagetally {
 
@@ -88,6 +89,11 @@
   std::uint16_t port() const { return port_; }
   // The number of open connections.
   std::size_t connection_count() const { return clients_.size(); }
+  // Sets how repeated requests on one connection are recognised; by default kById. To be called before the
+  // loop runs.
+  void SetRequestIdentification(RequestIdentification identification) {
+    request_identification_ = identification;
+  }
   // Closes idle connections and makes every response from now on end its connection. With `include_unused`,
   // also closes connections on which no byte was received.
   void CloseBetweenRequests(bool include_unused = false);
@@ -100,7 +106,8 @@
   std::function<void()> on_closed;
   // Called with each response before it is written. May be empty.
   std::function<void(const Exchange&, int status, const std::string& body)> on_responded;
-  // Called with a request that is not answered, because it is a copy of one that was. May be empty.
+  // Called with a request that is not answered, because it is a copy of one that was (see
+  // Exchange::MarkRepeated). May be empty.
   std::function<void(const Exchange&)> on_request_dropped;
   // Called when a request can't be read, with the number of its connection and the status that tells why.
   // `is_answered` says whether the client gets that status, which it does for its first request only. May be
@@ -150,6 +157,7 @@
   bool is_waiting_for_place_ = false;
   bool is_stopping_ = false;  // StopListening() was called
   int accepted_in_round_ = 0;
+  RequestIdentification request_identification_ = RequestIdentification::kById;
   std::map<ServerConnection*, std::unique_ptr<ServerConnection>> clients_;
   Timer accept_retry_timer_;
   Timer stop_listening_timer_;
--- a/src/net/request_identity.cpp
+++ b/src/net/request_identity.cpp
@@ -28,10 +28,12 @@
 
 }  // namespace
 
-std::optional<RequestIdentity> IdentityOf(const RequestReader::HttpRequest& request) {
+std::optional<RequestIdentity> IdentityOf(const RequestReader::HttpRequest& request,
+                                          RequestIdentification identification) {
   if (request.method() != boost::beast::http::verb::post) return std::nullopt;
   const auto id = request.find(kIdHeader);
-  if (id == request.end()) return RequestIdentity{FingerprintOf(request), false};
+  const bool has_id = identification == RequestIdentification::kById && id != request.end();
+  if (!has_id) return RequestIdentity{FingerprintOf(request), false};
   return RequestIdentity{std::hash<std::string_view>()(ToView(id->value())), true};
 }
 
--- a/src/net/request_identity.h
+++ b/src/net/request_identity.h
@@ -1,4 +1,4 @@
-// Tells the requests on a connection apart, so that a copy of an answered one is recognised. Used by
+// Tells the requests on a connection apart, so that a repetition of an answered one is recognised. Used by
 // ServerConnection.
 #ifndef SAGETALLY_SRC_NET_REQUEST_IDENTITY_H_
 #define SAGETALLY_SRC_NET_REQUEST_IDENTITY_H_
@@ -12,15 +12,22 @@
 
 namespace sagetally {
 
+// How the protocol of a server tells requests apart.
+enum class RequestIdentification {
+  kById,  // by X-Request-Id, which clients use for one submission only; a request without it by its content
+  kByContent  // always by the content, because clients may submit the same request again
+};
+
 // What identifies a request on its connection.
 struct RequestIdentity {
-  std::size_t fingerprint = 0;  // of X-Request-Id or, without that header, of the whole request
-  bool has_id = false;          // the request has an X-Request-Id, which no other request of its client has
+  std::size_t fingerprint = 0;  // of X-Request-Id, or of the whole request
+  bool is_unique = false;       // no other submission of a client has this identity
 };
 
 // Returns the identity of a request. Returns nothing for a request that is no POST, because it may be
 // repeated at will.
-std::optional<RequestIdentity> IdentityOf(const RequestReader::HttpRequest& request);
+std::optional<RequestIdentity> IdentityOf(const RequestReader::HttpRequest& request,
+                                          RequestIdentification identification);
 
 // Returns whether the request has more than one X-Request-Id. Its bytes are then those of two requests.
 bool HasAmbiguousId(const RequestReader::HttpRequest& request);
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -41,6 +41,7 @@
 constexpr int kBadRequest = 400;
 constexpr int kRequestTimeout = 408;
 constexpr int kServiceUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
 constexpr const char* kRejectionHeaders = "Connection: close\r\nContent-Length: 0\r\n\r\n";
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -193,14 +194,18 @@
 }
 
 void ServerConnection::SendResponse(int status, const std::string& body, const HttpHeaders& headers) {
-  if (const auto exchange = exchange_.lock(); exchange && server_.on_responded) {
-    server_.on_responded(*exchange, status, body);
-  }
+  const auto exchange = exchange_.lock();
+  if (exchange && server_.on_responded) server_.on_responded(*exchange, status, body);
   // Further requests that are already in the buffer are answered, too, unless this request itself asked to
   // close the connection.
   const bool ends_after = server_.is_closing_ || client_has_ended_ || ends_soon_;
-  const bool is_last = !keep_alive_ || gives_way_ || (ends_after && !HasUnparsedBytes());
-  if (open_request_) answered_requests_.Add(*open_request_);
+  const bool is_repeated = exchange && exchange->is_repeated() && !exchange->is_first_request();
+  const bool is_last = !keep_alive_ || gives_way_ || is_repeated || (ends_after && !HasUnparsedBytes());
+  // 504 asks the client to submit the request again under the same id.
+  const bool is_final = status != kGatewayTimeout;
+  if (open_request_ && is_final) answered_requests_.Add(*open_request_);
+  const bool is_unique = open_request_ && open_request_->is_unique;
+  has_input_before_response_ = !is_unique && HasUnreadBytes();
   std::string text = StatusLine(status);
   for (const auto& [name, value] : headers) text.append(name).append(": ").append(value).append("\r\n");
   if (is_last) text += "Connection: close\r\n";
@@ -217,6 +222,14 @@
   if (HasUnparsedBytes()) ReadSoon();
 }
 
+// A client has one request open at a time. So a request is a copy if the client has gone on before its
+// response, or if it uses an id that its client has used on this connection before.
+bool ServerConnection::MayAwaitResponse(const Exchange& exchange) const {
+  if (exchange.is_first_request()) return true;
+  const bool is_unique = open_request_ && open_request_->is_unique;
+  return !is_unique && !HasUnreadBytes();
+}
+
 void ServerConnection::DropRequest(const Exchange& exchange) {
   if (server_.on_request_dropped) server_.on_request_dropped(exchange);
   exchange_.reset();
@@ -340,7 +353,9 @@
 void ServerConnection::HandleRequest() {
   RequestReader::HttpRequest request = reader_.TakeRequest();
   if (HasAmbiguousId(request)) return RejectRequest(kBadRequest);
-  if (DropIfAnsweredBefore(request)) return;
+  open_request_ = IdentityOf(request, server_.request_identification_);
+  const bool is_repeated = open_request_ && answered_requests_.Contains(*open_request_);
+  if (is_repeated && IsCopy()) return DropCopy(request);
   const bool is_first_request = !has_sent_requests_;
   has_sent_requests_ = true;
   ++request_count_;
@@ -354,23 +369,22 @@
   exchange->client_id_ = client_id_;
   exchange->is_first_request_ = is_first_request;
   exchange_ = exchange;
+  if (is_repeated) exchange->MarkRepeated();
   server_.handler_(std::move(exchange));
 }
 
-// A client has one request open at a time, so it has had the response to a request that was answered on this
-// connection before. Of a request with an id nothing else can follow than a copy, and the connection goes on.
-bool ServerConnection::DropIfAnsweredBefore(const RequestReader::HttpRequest& request) {
-  open_request_ = IdentityOf(request);
-  if (!open_request_ || !answered_requests_.Contains(*open_request_)) return false;
+// Returns whether the request that was read, and that repeats one answered on this connection, is a copy that
+// something on its way made. A client has had the response when it submits a request again, so it can't have
+// sent one that arrived before the response was sent.
+bool ServerConnection::IsCopy() const { return open_request_->is_unique || has_input_before_response_; }
+
+// Behind a request with a unique id nothing else can follow than a copy, and the connection goes on.
+void ServerConnection::DropCopy(const RequestReader::HttpRequest& request) {
   Exchange copy(nullptr, ToString(request.method_string()), PathOf(request), HeadersOf(request), "");
   copy.connection_number_ = number_;
   if (server_.on_request_dropped) server_.on_request_dropped(copy);
-  if (!open_request_->has_id) {
-    EndBetweenRequests();
-  } else {
-    timer_.Schedule(HasUnparsedBytes() ? kNextRequestTimeout : kIdleTimeout);
-  }
-  return true;
+  if (!open_request_->is_unique) return EndBetweenRequests();
+  timer_.Schedule(HasUnparsedBytes() ? kNextRequestTimeout : kIdleTimeout);
 }
 
 // A later request that can't be read is not answered, because it may be a part of an earlier one that was
--- a/src/net/server_connection.h
+++ b/src/net/server_connection.h
@@ -46,7 +46,11 @@
   bool gives_way() const { return gives_way_; }
   // The whole requests that the connection carried.
   std::uint64_t request_count() const { return request_count_; }
-  // Ends the open exchange without a response; see Exchange::Drop().
+  // Returns whether the client may wait for the response to the open exchange, which repeats a request that
+  // was answered before. If not, the request is a copy that something on its way made.
+  bool MayAwaitResponse(const Exchange& exchange) const;
+  // Ends the open exchange without a response, because its request is a copy. The connection is ended between
+  // two requests, so that a client that does wait sends its request once more on a new one.
   void DropRequest(const Exchange& exchange);
   // Sends the response to the open exchange.
   void SendResponse(int status, const std::string& body, const HttpHeaders& headers);
@@ -96,7 +100,8 @@
   void CloseAfterLinger();
   void ResumeTransferred(const HttpServer::TransferredClient& transferred);
   void HandleRequest();
-  bool DropIfAnsweredBefore(const RequestReader::HttpRequest& request);
+  bool IsCopy() const;
+  void DropCopy(const RequestReader::HttpRequest& request);
   void RejectRequest(int status);
   void EndBetweenRequests();
   void CloseOnceWritten();
@@ -120,6 +125,8 @@
   std::weak_ptr<Exchange> exchange_;             // the last one that was passed to the server's handler
   std::optional<RequestIdentity> open_request_;  // identifies the request of exchange_
   AnsweredRequests answered_requests_;
+  // When the last response to a request without a unique id was sent, more input had arrived already.
+  bool has_input_before_response_ = false;
   bool has_sent_requests_ = false;
   bool is_closing_ = false;        // no further request is read
   bool ends_soon_ = false;         // the connection is ended as soon as no request is open
--- a/tests/app/cloudevents_test.cpp
+++ b/tests/app/cloudevents_test.cpp
@@ -251,6 +251,71 @@
   RunUntil(world.loop, [&] { return world.CountCallsOf(RequestIdOf(rejected)) == 1; });
 }
 
+// Returns a request for the CloudEvents server as a client writes it.
+std::string RequestText(const Headers& headers, const std::string& body) {
+  std::string text = "POST / HTTP/1.1\r\nHost: b\r\n";
+  for (const auto& [name, value] : headers) text.append(name).append(": ").append(value).append("\r\n");
+  return text + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+// Returns the status codes of the responses in `received`, each with a space behind it.
+std::string StatusCodes(const std::string& received) {
+  static const std::string kVersion = "HTTP/1.1 ";
+  std::string codes;
+  for (std::size_t at = received.find(kVersion); at != received.npos; at = received.find(kVersion, at + 1)) {
+    codes += received.substr(at + kVersion.size(), 4);
+  }
+  return codes;
+}
+
+// Guards against review/10: an event that its client submits again on the connection that it keeps, and that
+// gets no response. After a rejection it is delivered; after its acceptance it makes no second message,
+// whether its call is out, has ended, or was made by an earlier process.
+void EventThatComesAgainOnItsConnectionIsAnswered() {
+  Headers with_request_id = BinaryModeHeaders("e", "pagamento");
+  with_request_id.emplace_back("X-Request-Id", "r1");
+  const std::string submissions[] = {
+      RequestText(BinaryModeHeaders("e", "pagamento"), "x"), RequestText(with_request_id, "x"),
+      RequestText({{"Content-Type", kStructuredType}}, EventJson("e", "pagamento")),
+      RequestText({{"Content-Type", kBatchType}}, "[" + EventJson("e", "pagamento") + "]")};
+  for (const std::string& submission : submissions) {
+    World world(1, 8, 2);
+    world.endpoints[0]->default_status = 0;
+    world.Start();
+    for (const std::string id : {"a", "b"}) {
+      assert(world.AwaitStatus(world.PostEvent(BinaryModeHeaders(id, "aviso"), "x")) == 202);
+    }
+    RawClient client(world.loop, world.dispatcher->cloudevents_port(), submission);
+    RunUntil(world.loop, [&] { return StatusCodes(client.received) == "429 "; });
+    RunUntil(world.loop, [&] { return world.CountCalls() == 2; });
+    world.endpoints[0]->Release();
+    RunUntil(world.loop, [&] { return world.endpoints[0]->calls.size() == 2; });
+    RunFor(world.loop, 100ms);
+    world.endpoints[0]->default_status = 0;
+    client.Write(submission);
+    RunUntil(world.loop, [&] { return client.closed; });
+    assert(StatusCodes(client.received) == "429 202 ");
+    // The next client's connection has carried another event before.
+    RawClient next(world.loop, world.dispatcher->cloudevents_port(),
+                   RequestText(BinaryModeHeaders("c", "aviso"), "x"));
+    RunUntil(world.loop, [&] { return StatusCodes(next.received) == "202 "; });
+    RunUntil(world.loop, [&] { return world.CountCallsOf(RequestIdOf("e")) == 1; });
+    next.Write(submission);
+    RunUntil(world.loop, [&] { return next.closed; });
+    assert(StatusCodes(next.received) == "202 202 ");
+    world.Kill();
+    world.Start();
+    RawClient last(world.loop, world.dispatcher->cloudevents_port(),
+                   RequestText(BinaryModeHeaders("c", "aviso"), "x"));
+    RunUntil(world.loop, [&] { return StatusCodes(last.received) == "202 "; });
+    last.Write(submission);
+    RunUntil(world.loop, [&] { return last.closed; });
+    assert(StatusCodes(last.received) == "202 202 ");
+    RunFor(world.loop, 200ms);
+    assert(world.CountCallsOf(RequestIdOf("e")) == 1);
+  }
+}
+
 void BatchIsAcceptedWholeOrNotAtAll() {
   World world(1, 8, 6);
   world.Start();
@@ -364,8 +429,9 @@
   DuplicateEventIsDeliveredOnce();
   OldestRetainedEventsAreDroppedForNewMessages();
   RejectedEventIsAcceptedAsNewMessage();
+  EventThatComesAgainOnItsConnectionIsAnswered();
   BatchIsAcceptedWholeOrNotAtAll();
   SinkIsNotifiedOfFailuresUntilItAcknowledges();
   BothProtocolsGiveTheSameOutcomes();
-  std::puts("13 passed, 0 failed");
+  std::puts("14 passed, 0 failed");
 }
--- a/tests/app/roles_test.cpp
+++ b/tests/app/roles_test.cpp
@@ -258,6 +258,38 @@
   assert(nodes.world.AwaitStatus(nodes.PostMessage("c", 1)) == 503);
 }
 
+// Guards against review/10 at a forwarder: an event that it has refused, or a message that it has told to
+// come again under the same id, gets a response on the connection that its client keeps.
+void ForwarderAnswersWhatComesAgainAfterItsRefusal() {
+  ForwarderAndPlanners nodes(0);
+  const std::string event =
+      "POST / HTTP/1.1\r\nHost: b\r\nContent-Type: application/cloudevents+json\r\nContent-Length: " +
+      std::to_string(EventJson("e", 1).size()) + "\r\n\r\n" + EventJson("e", 1);
+  const std::string message =
+      "POST /aviso HTTP/1.1\r\nHost: b\r\nX-Request-Id: m\r\nX-Class: aviso\r\nX-Deadline: 9000m\r\n"
+      "X-Envelope: dest=1\r\nContent-Length: 1\r\n\r\nx";
+  RawClient event_client(nodes.world.loop, nodes.forwarder->cloudevents_port(), event);
+  RunUntil(nodes.world.loop, [&] { return event_client.received.starts_with("HTTP/1.1 503 "); });
+  std::vector<std::shared_ptr<Exchange>> unanswered;
+  bool answers = false;
+  HttpServer planner(nodes.world.loop, Address{"127.0.0.1", 0}, HttpServer::Limits{1 << 20, 200},
+                     [&](const std::shared_ptr<Exchange>& exchange) {
+                       if (answers) return void(exchange->Respond(202));
+                       unanswered.push_back(exchange);
+                     });
+  nodes.registry->Put("SAGETALLY", "silent", planner.port());
+  RunUntil(nodes.world.loop, [&] { return nodes.forwarder->planners_up() == 1; });
+  RawClient message_client(nodes.world.loop, nodes.forwarder->port(), message);
+  RunUntil(nodes.world.loop, [&] { return message_client.received.starts_with("HTTP/1.1 504 "); });
+  answers = true;
+  message_client.Write(message);
+  RunUntil(nodes.world.loop,
+           [&] { return message_client.received.find("HTTP/1.1 202 ") != std::string::npos; });
+  event_client.Write(event);
+  RunUntil(nodes.world.loop, [&] { return event_client.closed; });
+  assert(event_client.received.find("HTTP/1.1 202 ") != std::string::npos);
+}
+
 }  // namespace
 }  // namespace sagetally
 
@@ -271,5 +303,6 @@
   ForwarderRejectsIdsThatAreNotUtf8();
   PlannerShutdownMovesItsDestinationsAndRegistryOutageKeepsTheList();
   UnreachablePlannerGives503OnlyIfNothingWasWritten();
-  std::puts("8 passed, 0 failed");
+  ForwarderAnswersWhatComesAgainAfterItsRefusal();
+  std::puts("9 passed, 0 failed");
 }
--- a/tests/net/http_server_races_test.cpp
+++ b/tests/net/http_server_races_test.cpp
@@ -163,16 +163,74 @@
   assert(client.ResponseCount() == 3 && fixture.request_count == 3 && !client.has_ended);
 }
 
-// The same for requests without an id. Their connection ends, because a client may send an equal one on
-// purpose.
-void ARepeatedRequestWithoutAnIdEndsTheConnection() {
+std::string SubmissionWithoutId(const std::string& body = "ok") {
+  return "POST /e HTTP/1.1\r\nHost: b\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+// Guards against review/10: a request without a unique id that a client submits again after its response was
+// read, and its connection closed without a response. The response ends the connection, so that it can be
+// taken for that to one other request at most if the repetition was a copy.
+void ARequestWithoutAnIdThatComesAgainIsAnswered() {
+  for (const bool is_by_content : {false, true}) {
+    ServerFixture fixture;
+    if (is_by_content) fixture.server.SetRequestIdentification(RequestIdentification::kByContent);
+    const std::string request = is_by_content ? Submission("a") : SubmissionWithoutId();
+    Client& client = fixture.Connect(request);
+    RunUntil(fixture.loop, [&] { return client.ResponseCount() == 1; });
+    assert(client.Send(request));
+    fixture.WaitForEnd(client);
+    assert(client.ResponseCount() == 2 && fixture.request_count == 2);
+    assert(client.Received().find("Connection: close") != std::string::npos);
+  }
+}
+
+// A copy that arrives before the response to its original gets no response: its client can't have submitted
+// it again. The connection ends.
+void ACopyWithoutAnIdThatArrivesBeforeTheResponseIsDropped() {
+  const std::size_t size = SubmissionWithoutId().size();
+  for (const std::size_t first_bytes : {size, size - 1, std::size_t{1}}) {
+    ServerFixture fixture;
+    fixture.defer_responses = true;
+    Client& client = fixture.Connect(SubmissionWithoutId());
+    RunUntil(fixture.loop, [&] { return fixture.pending_exchanges.size() == 1; });
+    assert(client.Send(SubmissionWithoutId().substr(0, first_bytes)));
+    fixture.pending_exchanges[0]->Respond(200);  // before the server has read it
+    RunUntil(fixture.loop, [&] { return client.ResponseCount() == 1; });
+    assert(client.Send(SubmissionWithoutId().substr(first_bytes)));
+    fixture.WaitForEnd(client);
+    assert(client.ResponseCount() == 1 && fixture.request_count == 1);
+  }
+}
+
+// A repetition whose client goes on with another request without waiting is a copy. It gets no response,
+// which the client would take for that to its next request.
+void ACopyWithoutAnIdWithTheNextRequestBehindItIsDropped() {
   ServerFixture fixture;
-  const std::string request = "POST /e HTTP/1.1\r\nHost: b\r\nContent-Length: 2\r\n\r\nok";
-  Client& client = fixture.Connect(request);
+  Client& client = fixture.Connect(SubmissionWithoutId());
   RunUntil(fixture.loop, [&] { return client.ResponseCount() == 1; });
-  assert(client.Send(request));
+  fixture.response_body = "next";
+  assert(client.Send(SubmissionWithoutId() + SubmissionWithoutId("next")));
   fixture.WaitForEnd(client);
-  assert(client.ResponseCount() == 1 && fixture.request_count == 1);
+  assert(client.ResponseCount() == 2 && client.Received().ends_with("next"));
+  assert(fixture.request_count == 3);
+}
+
+// Guards against a client that is told 504, which asks it to submit again under the same id, and that then
+// gets no response.
+void AnIdThatIsAnsweredWith504MayComeAgain() {
+  ServerFixture fixture;
+  fixture.defer_responses = true;
+  Client& client = fixture.Connect(Submission("a"));
+  for (const int status : {504, 504, 202}) {
+    RunUntil(fixture.loop, [&] { return !fixture.pending_exchanges.empty(); });
+    const int responses = client.ResponseCount();
+    fixture.pending_exchanges[0]->Respond(status);
+    fixture.pending_exchanges.clear();
+    RunUntil(fixture.loop, [&] { return client.ResponseCount() > responses; });
+    assert(client.Send(Submission("a")));
+  }
+  RunFor(fixture.loop, 100ms);
+  assert(client.ResponseCount() == 3 && fixture.request_count == 3 && !client.has_ended);
 }
 
 // What can't be read after an answered request gets no response: half of a copy with the next request behind
@@ -253,8 +311,11 @@
   AnIncompleteFirstRequestTimesOutWith408();
   AnIncompleteLaterRequestIsClosedWithoutAResponse();
   ARepeatedRequestDoesNotAnswerTheNextOne();
-  ARepeatedRequestWithoutAnIdEndsTheConnection();
+  ARequestWithoutAnIdThatComesAgainIsAnswered();
+  ACopyWithoutAnIdThatArrivesBeforeTheResponseIsDropped();
+  ACopyWithoutAnIdWithTheNextRequestBehindItIsDropped();
+  AnIdThatIsAnsweredWith504MayComeAgain();
   UnreadableBytesDoNotAnswerTheNextRequest();
   ShutdownAnswersEveryRequestReceived();
-  std::puts("14 passed, 0 failed");
+  std::puts("18 passed, 0 failed");
 }
