A payment event is not forgotten for the bodies of later events

Fix: a remembered end gives back the space of its body, attributes and key. For new messages only ends of events that may run again (class pure, or never called) are forgotten, and only if that makes room; then provisional deliveries are completed; then the newcomer gets 429. Expired ends go first, as nothing else looks at them while every message is rejected. retained_ is ordered by the time of the end: a restart counted an end twice whose state compaction had copied, and ordered it by the copy. events.forgotten logs how many were forgotten, for disk or memory.

Two calls in core_message_table follow the changed function and ask for the same.

--- a/src/app/dispatcher.cpp
+++ b/src/app/dispatcher.cpp
@@ -71,6 +71,10 @@
   client_servers_.SetOnEvicted([this](const std::string& reason) { metrics_.RecordEviction(reason); });
   memory_.ReturnMemoryOf(messages_.memory());
   readiness_.can_record = [this] { return journal_.journal().is_writable(); };
+  pipeline_.admission_controller.on_events_forgotten = [this](std::size_t count, ScarceResource resource) {
+    log_.Info("events.forgotten",
+              {{"count", count}, {"for", resource == ScarceResource::kDisk ? "disk" : "memory"}});
+  };
   pipeline_.admission_controller.is_accepting = [this] { return readiness_.IsAccepting(clock_.Now()); };
 }
 
--- a/src/core/journal.h
+++ b/src/core/journal.h
@@ -3,6 +3,7 @@
 #ifndef SAGETALLY_SRC_CORE_JOURNAL_H_
 #define SAGETALLY_SRC_CORE_JOURNAL_H_
 
+#include <cstdint>
 #include <span>
 
 #include "core/message.h"
@@ -22,6 +23,11 @@
   // Records that all `messages` were accepted, in a single journal record. Returns false, and appends
   // nothing, if the journal can't take them, for example because the disk is full.
   virtual bool AppendAccepted(std::span<const Message* const> messages) = 0;
+  // Returns by how many bytes the space for messages that are kept would be exceeded with `messages`; 0: they
+  // have room.
+  virtual std::uint64_t MissingSpace(std::span<const Message* const>) const { return 0; }
+  // Returns the bytes of that space that a recorded message takes up.
+  virtual std::uint64_t SpaceOf(const Message&) const { return 0; }
   // Records the start of the message's latest attempt.
   virtual void AppendAttempt(const Message& message) = 0;
   // Records the outcome of an attempt after which the message is still pending.
--- a/src/core/message.h
+++ b/src/core/message.h
@@ -95,6 +95,7 @@
   bool notification_pending = false;  // the client must be notified, and has not acknowledged that yet
   std::uint64_t client = 0;           // who submitted it to this process; 0: not known
   bool is_response_sent = true;       // false while the client waits for the response to its submission
+  bool is_released = false;           // completed, and holds only what recognises a repeated submission
 
   // Used only if dead letters are configured.
   Time accepted_at{0};
--- a/src/core/message_table.cpp
+++ b/src/core/message_table.cpp
@@ -1,6 +1,7 @@
 #include "core/message_table.h"
 
 #include <utility>
+#include <vector>
 
 namespace sagetally {
 namespace {
@@ -27,14 +28,22 @@
   return size;
 }
 
+std::size_t MessageTable::MemoryOf(const Message& message) {
+  const std::size_t size = MemoryOf(message.request);
+  return message.is_released ? size - kMessageBytes + kRetainedMessageBytes : size;
+}
+
 Message& MessageTable::Add(Message message) {
   if (message.number == 0) message.number = next_number_;
   next_number_ = std::max(next_number_, message.number + 1);
   const std::uint64_t number = message.number;
   numbers_by_key_[MakeDeduplicationKey(message.request)] = number;
   if (IsPending(message)) CountPending(message, 1);
-  if (const Message* replaced = Find(number)) memory_.Remove(MemoryOf(replaced->request));
-  memory_.Add(MemoryOf(message.request));
+  if (const Message* replaced = Find(number)) {
+    memory_.Remove(MemoryOf(*replaced));
+    StopRetaining(*replaced);
+  }
+  memory_.Add(MemoryOf(message));
   Message& added = messages_.insert_or_assign(number, std::move(message)).first->second;
   // Only the journal's replay adds messages that have completed already.
   if (!IsPending(added) && !added.dead_letter_pending) Retain(added);
@@ -98,14 +107,29 @@
       message.dead_letter_pending) {
     return;
   }
-  if (IsRetainedAfterCompletion(message)) {
-    memory_.Remove(message.request.body.size());
-    message.request.body = std::string();  // releases the memory of the body, which clear() would not do
-    return;
-  }
+  if (IsRetainedAfterCompletion(message)) return Release(message);
   if (!message.notification_pending) Remove(message.number);
 }
 
+// The new values release the memory of the old ones, which clear() would not do.
+void MessageTable::Release(Message& message) {
+  memory_.Remove(MemoryOf(message));
+  message.is_released = true;
+  message.request.body = std::string();
+  if (is_minimizing_ && !message.notification_pending) {
+    message.request.idempotency_key = std::string();
+    message.request.attributes = CloudEventAttributes();
+  }
+  memory_.Add(MemoryOf(message));
+  if (on_message_released) on_message_released(message);
+}
+
+void MessageTable::MinimizeRetained() {
+  is_minimizing_ = true;
+  const std::vector<RetainedMessage> retained(retained_.begin(), retained_.end());
+  for (const auto& [completed_at, number] : retained) RemoveIfFinished(*Find(number));
+}
+
 void MessageTable::Remove(std::uint64_t number) {
   const auto found = messages_.find(number);
   if (found == messages_.end()) return;
@@ -115,46 +139,47 @@
   if (key != numbers_by_key_.end() && key->second == number) numbers_by_key_.erase(key);
   if (IsPending(message)) CountPending(message, -1);
   if (message.is_delivery_unconfirmed) --unconfirmed_count_;
-  memory_.Remove(MemoryOf(message.request));
+  memory_.Remove(MemoryOf(message));
+  StopRetaining(message);
   messages_.erase(found);
 }
 
 void MessageTable::ExpireRetained(Time now) {
-  const auto is_expired = [now](const RetainedMessage& retained) {
-    return retained.completed_at + kDeduplicationWindow < now;
-  };
-  const bool is_any_expired = !retained_.empty() && is_expired(retained_.front());
-  if (!is_any_expired && retained_.size() <= kMaxRetainedMessages) return;
-  for (auto oldest = FindOldestRemovable(); oldest != retained_.end(); oldest = FindOldestRemovable()) {
-    const auto position_from_newest = static_cast<std::size_t>(retained_.end() - oldest);
-    if (!is_expired(*oldest) && position_from_newest <= kMaxRetainedMessages) return;
-    RemoveRetained(oldest);
+  std::vector<std::uint64_t> numbers;
+  std::size_t position_from_newest = retained_.size();
+  for (const RetainedMessage& retained : retained_) {
+    const bool is_expired = retained.completed_at + kDeduplicationWindow < now;
+    if (!is_expired && position_from_newest <= kMaxRetainedMessages) break;
+    if (IsRemovable(retained)) numbers.push_back(retained.number);
+    --position_from_newest;
   }
+  for (const std::uint64_t number : numbers) Remove(number);
 }
 
-bool MessageTable::RemoveOldestRetained() {
-  const auto oldest = FindOldestRemovable();
-  if (oldest == retained_.end()) return false;
-  RemoveRetained(oldest);
-  return true;
+std::optional<std::size_t> MessageTable::RemoveRetained(std::uint64_t needed, const Gain& gain) {
+  std::uint64_t gained = 0;
+  std::vector<std::uint64_t> numbers;
+  for (auto retained = retained_.begin(); retained != retained_.end() && gained < needed; ++retained) {
+    const std::uint64_t gain_of_message = IsRemovable(*retained) ? gain(*Find(retained->number)) : 0;
+    if (gain_of_message > 0) numbers.push_back(retained->number);
+    gained += gain_of_message;
+  }
+  if (gained < needed) return std::nullopt;
+  for (const std::uint64_t number : numbers) Remove(number);
+  return numbers.size();
 }
 
-std::deque<MessageTable::RetainedMessage>::iterator MessageTable::FindOldestRemovable() {
-  return std::ranges::find_if(retained_, [this](const RetainedMessage& retained) {
-    const Message* message = Find(retained.number);
-    return message == nullptr ||
-           (!message->notification_pending && !message->is_in_flight && message->is_response_sent);
-  });
+bool MessageTable::IsRemovable(const RetainedMessage& retained) {
+  const Message& message = *Find(retained.number);
+  return !message.notification_pending && !message.is_in_flight && message.is_response_sent;
 }
 
-void MessageTable::RemoveRetained(const std::deque<RetainedMessage>::iterator& retained) {
-  const std::uint64_t number = retained->number;
-  retained_.erase(retained);
-  Remove(number);
+void MessageTable::Retain(const Message& message) {
+  retained_.insert({message.completed_at, message.number});
 }
 
-void MessageTable::Retain(const Message& message) {
-  retained_.push_back({message.completed_at, message.number});
+void MessageTable::StopRetaining(const Message& message) {
+  retained_.erase({message.completed_at, message.number});
 }
 
 }  // namespace sagetally
--- a/src/core/message_table.h
+++ b/src/core/message_table.h
@@ -11,10 +11,12 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 
 #include "core/id_history.h"
@@ -28,8 +30,12 @@
   // What a message takes up beside the texts of its request: its entries here, in the policy, in the journal
   // and in its calls.
   static constexpr std::size_t kMessageBytes = 2048;
-  // Returns the memory that a message with this request takes up, in bytes.
+  // The same for a completed message of which only its end is retained.
+  static constexpr std::size_t kRetainedMessageBytes = 768;
+  // Returns the memory that a pending message with this request takes up, in bytes.
   static std::size_t MemoryOf(const Request& request);
+  // Returns the memory that the message takes up, in bytes.
+  static std::size_t MemoryOf(const Message& message);
 
   // Completed CloudEvents are retained for deduplication for this long, and at most this many of them.
   static constexpr Duration kDeduplicationWindow = std::chrono::minutes(5);
@@ -78,39 +84,52 @@
 
   // Removes a completed message if nothing is outstanding for it: no call is in flight, its client has the
   // response and has acknowledged a pending notification, and the dead-letter store does not still have to
-  // store it. A message that is retained for deduplication stays in the table, but its body is released.
+  // store it. A message that is retained for deduplication stays in the table, but releases its body and
+  // whatever else is not needed to recognise it.
   void RemoveIfFinished(Message& message);
+  // From now on, messages that are retained for deduplication release their attributes and keys as well as
+  // their bodies, those in the table included. Until then the table shows what the journal's replay has read.
+  void MinimizeRetained();
   // Removes a message in any state. Does nothing if there is no message with this number.
   void Remove(std::uint64_t number);
   // Removes messages that have been retained longer than kDeduplicationWindow, and those beyond the newest
   // kMaxRetainedMessages. Keeps messages that have a call in flight or whose client still has to get the
   // response or the notification.
   void ExpireRetained(Time now);
-  // Of the retained messages that need not be kept in that way, removes the oldest. Returns false if there is
-  // none.
-  bool RemoveOldestRetained();
+  // Returns what is gained by the removal of a retained message; 0: it must not be removed.
+  using Gain = std::function<std::uint64_t(const Message&)>;
+  // Of the retained messages that need not be kept in that way, removes the oldest until their gains add up
+  // to `needed`, and returns how many were removed. Removes none and returns nothing if all of them do not
+  // suffice.
+  std::optional<std::size_t> RemoveRetained(std::uint64_t needed, const Gain& gain);
 
   // Called before a message is removed. May be empty.
   std::function<void(const Message&)> on_message_removed;
+  // Called when a retained message has released a part of what it held. May be empty.
+  std::function<void(const Message&)> on_message_released;
 
  private:
   // A completed message that is retained for deduplication.
   struct RetainedMessage {
     Time completed_at{0};
     std::uint64_t number = 0;
+    bool operator<(const RetainedMessage& other) const {
+      return std::tie(completed_at, number) < std::tie(other.completed_at, other.number);
+    }
   };
 
   void CountPending(const Message& message, int change);
   void Retain(const Message& message);
-  // Returns the end if every retained message must be kept.
-  std::deque<RetainedMessage>::iterator FindOldestRemovable();
-  void RemoveRetained(const std::deque<RetainedMessage>::iterator& retained);
+  void Release(Message& message);
+  void StopRetaining(const Message& message);
+  bool IsRemovable(const RetainedMessage& retained);
 
   std::map<std::uint64_t, Message> messages_;
   std::unordered_map<std::string, std::uint64_t> numbers_by_key_;  // by MakeDeduplicationKey()
-  std::deque<RetainedMessage> retained_;                           // oldest first
+  std::set<RetainedMessage> retained_;                             // oldest first
   IdHistory id_history_;
   MemoryAccount memory_;
+  bool is_minimizing_ = false;
   std::uint64_t next_number_ = 1;
   int pending_count_ = 0;
   std::unordered_map<std::uint64_t, int> pending_by_client_;  // without clients that have none
--- a/src/journal/segment_journal.cpp
+++ b/src/journal/segment_journal.cpp
@@ -46,10 +46,12 @@
   host_.BeforeFirstWrite();
   BeginEpoch();
   messages_.on_message_removed = [this](const Message& message) { OnMessageRemoved(message); };
+  messages_.on_message_released = [this](const Message& message) { OnMessageReleased(message); };
 }
 
 SegmentJournal::~SegmentJournal() {
   messages_.on_message_removed = nullptr;
+  messages_.on_message_released = nullptr;
   *is_alive_ = false;
 }
 
@@ -61,17 +63,26 @@
          group_commit_.IsSynced(entry->last_sequence);
 }
 
-bool SegmentJournal::AppendAccepted(std::span<const Message* const> messages) {
-  if (!is_writable() || is_full_) return false;
+std::uint64_t SegmentJournal::MissingSpace(std::span<const Message* const> messages) const {
   std::uint64_t live_bytes = index_.live_bytes();
+  for (const Message* message : messages) live_bytes += MaxLiveBytes(*message);
+  const std::uint64_t limit = disk_space_.live_limit();
+  return live_bytes > limit ? live_bytes - limit : 0;
+}
+
+std::uint64_t SegmentJournal::SpaceOf(const Message& message) const {
+  const LiveMessage* const entry = index_.Find(message.number);
+  return entry == nullptr ? 0 : entry->live_bytes;
+}
+
+bool SegmentJournal::AppendAccepted(std::span<const Message* const> messages) {
+  if (!is_writable() || is_full_ || MissingSpace(messages) > 0) return false;
   std::uint64_t future_bytes = index_.future_bytes();
   std::vector<std::string> states;
   for (const Message* message : messages) {
-    live_bytes += MaxLiveBytes(*message);
     future_bytes += MaxFutureRecordBytes(*message);
     states.push_back(EncodeState(*message, 1));
   }
-  if (live_bytes > disk_space_.live_limit()) return false;
   if (!GrowReserve(future_bytes)) {
     OnWriteError(ENOSPC, false);
     return false;
@@ -160,6 +171,11 @@
   index_.Erase(message.number);
 }
 
+void SegmentJournal::OnMessageReleased(const Message& message) {
+  LiveMessage* const entry = index_.Find(message.number);
+  if (entry != nullptr) index_.UpdateSizes(message, *entry);
+}
+
 bool SegmentJournal::Write(std::string_view record, WriteMode mode) {
   if (is_broken_ || is_fenced_ || (is_unwritable_ && !is_retrying_)) return false;
   const std::uint64_t frame_bytes = kFrameBytes + record.size();
--- a/src/journal/segment_journal.h
+++ b/src/journal/segment_journal.h
@@ -67,6 +67,8 @@
   SegmentJournal(const SegmentJournal&) = delete;
   SegmentJournal& operator=(const SegmentJournal&) = delete;
 
+  std::uint64_t MissingSpace(std::span<const Message* const> messages) const override;
+  std::uint64_t SpaceOf(const Message& message) const override;
   bool AppendAccepted(std::span<const Message* const> messages) override;
   void AppendAttempt(const Message& message) override;
   void AppendOutcome(const Message& message, Outcome outcome) override;
@@ -162,6 +164,8 @@
   bool GrowReserve(std::uint64_t bytes) { return reserve_.Grow(bytes, disk_space_.reserve_limit()); }
   // Called by the message table before it removes a message.
   void OnMessageRemoved(const Message& message);
+  // Called by the message table when a message needs less space than before.
+  void OnMessageReleased(const Message& message);
   bool CopyState(std::uint64_t message_number, LiveMessage& entry) override;
   bool DropOldestSegment() override;
 
--- a/src/pipeline/admission_controller.cpp
+++ b/src/pipeline/admission_controller.cpp
@@ -41,7 +41,7 @@
     Reject(requests, respond, {AdmissionStatus::kRejected, Duration(0), kClientShareReason});
     return;
   }
-  if (!HasMemoryFor(requests)) {
+  if (!MakeMemoryFor(requests)) {
     Reject(requests, respond, {AdmissionStatus::kRejected, Duration(0), kMemoryFullReason});
     return;
   }
@@ -66,7 +66,7 @@
 
 bool AdmissionController::HasCapacityFor(std::size_t message_count) const {
   const int pending_count = messages_.pending_count() - messages_.unconfirmed_count();
-  return pending_count + static_cast<int>(message_count) <= max_pending_messages_;
+  return pending_count + static_cast<int>(message_count) <= settings_.max_pending_messages;
 }
 
 // A dynamic threshold: the fewer places are free, the fewer one client may hold, so that some are left for
@@ -74,18 +74,45 @@
 bool AdmissionController::IsWithinClientShare(std::uint64_t client, std::size_t message_count) const {
   static constexpr int kMaxMultipleOfFree = 8;
   if (client == 0) return true;
-  const int free = max_pending_messages_ - (messages_.pending_count() - messages_.unconfirmed_count());
+  const int free =
+      settings_.max_pending_messages - (messages_.pending_count() - messages_.unconfirmed_count());
   return messages_.PendingCountOf(client) + static_cast<int>(message_count) <= kMaxMultipleOfFree * free;
 }
 
-// Accepting new messages takes precedence over retaining completed ones, so these are removed first.
-bool AdmissionController::HasMemoryFor(std::span<const Request> requests) {
+// Returns whether a second run of an event that has ended does no harm, so that its end may be forgotten for
+// new messages.
+bool AdmissionController::MayRunAgain(const Message& message) const {
+  if (message.attempts == 0) return true;
+  if (message.request.message_class == kUnknownClass) return false;
+  const ClassSettings& settings =
+      settings_.classes.at(static_cast<std::size_t>(message.request.message_class));
+  return settings.idempotency == Idempotency::kIdempotent;
+}
+
+// Accepting new messages takes precedence over retaining those completed ones that may run again.
+bool AdmissionController::ForgetEvents(ScarceResource resource, const std::function<std::uint64_t()>& missing,
+                                       const MessageTable::Gain& size_of) {
+  if (missing() == 0) return true;
+  messages_.ExpireRetained(clock_.Now());
+  const auto gain = [&](const Message& message) { return MayRunAgain(message) ? size_of(message) : 0; };
+  const std::optional<std::size_t> count = messages_.RemoveRetained(missing(), gain);
+  if (count && *count > 0 && on_events_forgotten) on_events_forgotten(*count, resource);
+  return count.has_value();
+}
+
+bool AdmissionController::MakeMemoryFor(std::span<const Request> requests) {
   std::size_t bytes = 0;
   for (const Request& request : requests) bytes += MessageTable::MemoryOf(request);
-  while (!messages_.memory().HasRoomFor(bytes)) {
-    if (!messages_.RemoveOldestRetained()) return false;
-  }
-  return true;
+  const MemoryAccount& memory = messages_.memory();
+  const auto missing = [&] { return memory.HasRoomFor(bytes) ? 0 : memory.used() + bytes - memory.limit(); };
+  return ForgetEvents(ScarceResource::kMemory, missing,
+                      [](const Message& message) { return MessageTable::MemoryOf(message); });
+}
+
+bool AdmissionController::MakeDiskSpaceFor(const std::vector<const Message*>& messages) {
+  return ForgetEvents(
+      ScarceResource::kDisk, [&] { return journal_.MissingSpace(messages); },
+      [this](const Message& message) { return journal_.SpaceOf(message); });
 }
 
 std::vector<const Message*> AdmissionController::AddMessages(std::vector<Request> requests,
@@ -104,13 +131,9 @@
   return messages;
 }
 
-// Accepting new messages takes precedence over retaining completed messages for deduplication. If the record
-// does not fit on the disk, retained messages are removed, oldest first, until it fits or none can be
-// removed.
 bool AdmissionController::AppendToJournal(const std::vector<const Message*>& messages) {
-  bool is_recorded = journal_.AppendAccepted(messages);
-  while (!is_recorded && messages_.RemoveOldestRetained()) is_recorded = journal_.AppendAccepted(messages);
-  if (is_recorded || messages_.unconfirmed_count() == 0 || !make_room) return is_recorded;
+  if (MakeDiskSpaceFor(messages) && journal_.AppendAccepted(messages)) return true;
+  if (messages_.unconfirmed_count() == 0 || !make_room) return false;
   make_room();
   return AppendToJournal(messages);
 }
@@ -148,7 +171,7 @@
 }
 
 bool AdmissionController::AcceptRedrive(Message message) {
-  if (!IsAccepting() || !HasCapacityFor(1) || !HasMemoryFor({&message.request, 1})) return false;
+  if (!IsAccepting() || !HasCapacityFor(1) || !MakeMemoryFor({&message.request, 1})) return false;
   const Message& added = messages_.Add(std::move(message));
   const Message* const messages[] = {&added};
   if (!journal_.AppendAccepted(messages)) {
--- a/src/pipeline/admission_controller.h
+++ b/src/pipeline/admission_controller.h
@@ -25,18 +25,21 @@
 // Sends the response to the client of a submission. Returns false if the client has disconnected.
 using AdmissionCallback = std::function<bool(const AdmissionResult&)>;
 
+// What new messages compete for with the remembered ends of events.
+enum class ScarceResource { kMemory, kDisk };
+
 class AdmissionController {
  public:
   // `dead_letters` and `metrics` may be null. All referenced objects must outlive this one.
   AdmissionController(MessageTable& messages, Journal& journal, Router& router,
-                      CompletionHandler& completion_handler, const Clock& clock, int max_pending_messages,
+                      CompletionHandler& completion_handler, const Clock& clock, const Settings& settings,
                       DeadLetterSink* dead_letters, MetricsRecorder* metrics)
       : messages_(messages),
         journal_(journal),
         router_(router),
         completion_handler_(completion_handler),
         clock_(clock),
-        max_pending_messages_(max_pending_messages),
+        settings_(settings),
         dead_letters_(dead_letters),
         metrics_(metrics) {}
 
@@ -62,6 +65,8 @@
 
   // Returns whether this process accepts messages at present. If empty, it always does.
   std::function<bool()> is_accepting;
+  // Called when the ends of events were forgotten to make room for new messages. May be empty.
+  std::function<void(std::size_t count, ScarceResource resource)> on_events_forgotten;
   // Called when the journal has no space for a submission, to complete the messages that need not stay in it.
   // May be empty.
   std::function<void()> make_room;
@@ -79,7 +84,13 @@
   bool IsAccepting() const { return !is_accepting || is_accepting(); }
   bool HasCapacityFor(std::size_t message_count) const;
   bool IsWithinClientShare(std::uint64_t client, std::size_t message_count) const;
-  bool HasMemoryFor(std::span<const Request> requests);
+  bool MayRunAgain(const Message& message) const;
+  // Forgets the ends of events, those that have expired first, until nothing is `missing` any more. Returns
+  // false and forgets no unexpired one if that is not enough.
+  bool ForgetEvents(ScarceResource resource, const std::function<std::uint64_t()>& missing,
+                    const MessageTable::Gain& size_of);
+  bool MakeMemoryFor(std::span<const Request> requests);
+  bool MakeDiskSpaceFor(const std::vector<const Message*>& messages);
   std::vector<const Message*> AddMessages(std::vector<Request> requests, std::uint64_t client);
   bool AppendToJournal(const std::vector<const Message*>& messages);
   void RejectUnrecorded(const std::vector<const Message*>& messages, const AdmissionCallback& respond);
@@ -99,7 +110,7 @@
   Router& router_;
   CompletionHandler& completion_handler_;
   const Clock& clock_;
-  const int max_pending_messages_;
+  const Settings& settings_;
   DeadLetterSink* dead_letters_;
   MetricsRecorder* metrics_;
   std::vector<WaitingClient> waiting_clients_;  // in the order of submission
--- a/src/pipeline/message_pipeline.cpp
+++ b/src/pipeline/message_pipeline.cpp
@@ -14,8 +14,8 @@
       router(DispatchPolicy(site.policy, seed), messages, attempt_sender, completion_handler, endpoint_client,
              scheduler, clock),
       outcome_handler(messages, journal, router, completion_handler, clock, dead_letters, attempt_history),
-      admission_controller(messages, journal, router, completion_handler, clock,
-                           site.policy.max_pending_messages, dead_letters, metrics),
+      admission_controller(messages, journal, router, completion_handler, clock, site.policy, dead_letters,
+                           metrics),
       request_validator(site, messages, router, admission_controller, clock, dead_letters),
       messages_(messages),
       dead_letters_(dead_letters) {
@@ -23,6 +23,7 @@
 }
 
 void MessagePipeline::ResumeAfterRestart() {
+  messages_.MinimizeRetained();
   std::vector<std::uint64_t> forbidden;
   for (const auto& [number, message] : messages_.messages()) {
     // After a handover, a call may still be in flight in the predecessor. Its result arrives like any other.
--- a/tests/core/message_table_test.cpp
+++ b/tests/core/message_table_test.cpp
@@ -20,18 +20,20 @@
   return added.number;
 }
 
+std::uint64_t OneForEach(const Message&) { return 1; }
+
 // Guards against a full journal that takes on nothing more, because the oldest retained event has a
 // notification that its receiver never accepts.
 TEST(MessageTable, PendingNotificationDoesNotKeepLaterEventsFromBeingRemoved) {
   MessageTable table;
   const std::uint64_t pending = AddCompleted(table, FinalStatus::kFailed, Time(1));
   const std::uint64_t delivered = AddCompleted(table, FinalStatus::kDelivered, Time(2));
-  EXPECT_TRUE(table.RemoveOldestRetained());
+  EXPECT_EQ(table.RemoveRetained(1, OneForEach), 1U);
   EXPECT_EQ(table.Find(delivered), nullptr);
   EXPECT_NE(table.Find(pending), nullptr);
-  EXPECT_FALSE(table.RemoveOldestRetained());
+  EXPECT_EQ(table.RemoveRetained(1, OneForEach), std::nullopt);
   table.Find(pending)->notification_pending = false;
-  EXPECT_TRUE(table.RemoveOldestRetained());
+  EXPECT_EQ(table.RemoveRetained(1, OneForEach), 1U);
   EXPECT_EQ(table.size(), 0U);
 }
 
@@ -52,6 +54,30 @@
   EXPECT_NE(table.Find(newest), nullptr);
 }
 
+// Guards against ends that are forgotten after a restart, because those of which compaction had made copies
+// counted several times, and as the newest ones.
+TEST(MessageTable, EndsThatTheJournalHoldsTwiceCountOnce) {
+  MessageTable table;
+  Message message;
+  message.request.protocol = IngressProtocol::kCloudEvents;
+  message.final_status = FinalStatus::kDelivered;
+  for (std::size_t i = MessageTable::kMaxRetainedMessages; i > 0; --i) {
+    message.number = i;
+    message.completed_at = Time(1ms * i);
+    message.request.id = std::to_string(i);
+    for (int copies = 0; copies < 2; ++copies) {
+      table.Remove(message.number);
+      table.Add(message);
+    }
+  }
+  table.ExpireRetained(Time(2s));
+  EXPECT_EQ(table.size(), MessageTable::kMaxRetainedMessages);
+  AddCompleted(table, FinalStatus::kDelivered, Time(2s));
+  table.ExpireRetained(Time(2s));
+  EXPECT_EQ(table.Find(1), nullptr);
+  EXPECT_NE(table.Find(2), nullptr);
+}
+
 TEST(MessageTable, NewestEventsStayAlthoughManyOlderOnesArePending) {
   MessageTable table;
   for (std::size_t i = 0; i < 2 * MessageTable::kMaxRetainedMessages; ++i) {
