A handover does not wait for clients to pause

Cause: the old process offered itself only in a moment without an open request or an unwritten response on any connection, and rejected for good when none came within 500 ms.

Fix: the moment is made. The old process stops reading, answers what it has read, and hands over; bytes that arrive meanwhile go along with their connection. A response that its client does not read holds nothing up: that connection stays until it is written, for 3 s at most, and the old process waits for it. A pause is shorter than the 400 ms that a client waits (150 ms, then 300 ms). If the moment does not come, handover.postponed counts each condition, and the new process tries again for 4 s and then ends with the reason. Clients that end their side behind a request in a pause are handed over, too.

--- a/src/app/client_servers.cpp
+++ b/src/app/client_servers.cpp
@@ -71,9 +71,24 @@
   return count;
 }
 
-bool ClientServers::HasNoPendingResponse() const {
-  return std::ranges::all_of(Servers(),
-                             [](const HttpServer* server) { return server->HasNoPendingResponse(); });
+std::size_t ClientServers::CountOpenRequests() const {
+  std::size_t count = 0;
+  for (const HttpServer* server : Servers()) count += server->CountOpenRequests();
+  return count;
+}
+
+std::size_t ClientServers::CountUnreadResponses() const {
+  std::size_t count = 0;
+  for (const HttpServer* server : Servers()) count += server->CountUnreadResponses();
+  return count;
+}
+
+void ClientServers::PauseReading() {
+  for (HttpServer* server : Servers()) server->PauseReading();
+}
+
+void ClientServers::ResumeReading() {
+  for (HttpServer* server : Servers()) server->ResumeReading();
 }
 
 void ClientServers::SetClosing(bool closing) {
--- a/src/app/client_servers.h
+++ b/src/app/client_servers.h
@@ -48,8 +48,11 @@
   }
   std::size_t connections() const;
 
-  // Returns whether every request that has been read has its response, and every response has been written.
-  bool HasNoPendingResponse() const;
+  // These do on all servers what the functions of HttpServer with the same names do.
+  std::size_t CountOpenRequests() const;
+  std::size_t CountUnreadResponses() const;
+  void PauseReading();
+  void ResumeReading();
   // Sets whether each response from now on is the last one on its connection.
   void SetClosing(bool closing);
   // Closes idle connections, and makes each response from now on the last one on its connection.
--- a/src/app/dispatcher.cpp
+++ b/src/app/dispatcher.cpp
@@ -154,6 +154,7 @@
   readiness_.Stop(clock_.Now());
   admin_.CancelDrain();
   successor_.reset();  // a process that starts from now on waits until this one has exited
+  client_servers_.ResumeReading();
   if (dead_letters_) dead_letters_->Stop();
   pipeline_.router.QueueEvent(ShutdownStarted{ShutdownSequence::kMaxDuration - kShutdownMargin});
   shutdown_.Begin();
@@ -237,7 +238,8 @@
 
 bool Dispatcher::HasPendingWork() const {
   if (handed_over()) {
-    return !endpoint_pool_.is_idle() || (predecessor_ && predecessor_->has_calls_in_flight());
+    const bool has_calls = !endpoint_pool_.is_idle() || (predecessor_ && predecessor_->has_calls_in_flight());
+    return has_calls || client_servers_.connections() > 0;
   }
   const bool is_notifying =
       !platform_notifications_.is_idle() || (result_events_ && !result_events_->is_idle());
--- a/src/app/dispatcher.h
+++ b/src/app/dispatcher.h
@@ -110,7 +110,7 @@
   FileDescriptor TakeJournalLock();
   void TakeOver();
   void OfferHandover();
-  bool IsSettledForHandover();
+  HandoverObstacles FindHandoverObstacles();
   std::optional<std::string> HandoverRejectionReason();
   HandoverOffer MakeHandoverOffer();
   void OnHandedOver();
--- a/src/app/dispatcher_handover.cpp
+++ b/src/app/dispatcher_handover.cpp
@@ -32,7 +32,9 @@
 
 void Dispatcher::OfferHandover() {
   Successor::Callbacks callbacks;
-  callbacks.is_settled = [this] { return IsSettledForHandover(); };
+  callbacks.pause_clients = [this] { client_servers_.PauseReading(); };
+  callbacks.resume_clients = [this] { client_servers_.ResumeReading(); };
+  callbacks.find_obstacles = [this] { return FindHandoverObstacles(); };
   callbacks.rejection_reason = [this] { return HandoverRejectionReason(); };
   callbacks.make_offer = [this] { return MakeHandoverOffer(); };
   callbacks.reclaim_journal = [this] { return journal_.journal().Reclaim(); };
@@ -47,17 +49,23 @@
   successor_ = std::make_unique<Successor>(loop_, log_, config_, std::move(callbacks));
 }
 
-bool Dispatcher::IsSettledForHandover() {
+HandoverObstacles Dispatcher::FindHandoverObstacles() {
   pipeline_.RunPolicy();
-  bool is_settled = pipeline_.IsQuiescent() && client_servers_.HasNoPendingResponse();
+  const WaitingWork waiting = pipeline_.CountWaitingWork();
+  HandoverObstacles obstacles;
+  obstacles.open_requests = client_servers_.CountOpenRequests();
+  obstacles.unread_responses = client_servers_.CountUnreadResponses();
+  obstacles.waiting_submissions = waiting.submissions;
+  obstacles.waiting_attempts = waiting.attempts;
+  obstacles.waiting_completions = waiting.completions;
   // Cancels the calls of messages that are complete. The successor does not know these messages, so it would
   // use the slots of their calls for other calls.
   for (const auto& [number, message] : messages_.messages()) {
     if (!message.is_in_flight || message.final_status == FinalStatus::kPending) continue;
     CancelCall(number);
-    is_settled = false;
+    ++obstacles.ended_calls;
   }
-  return is_settled;
+  return obstacles;
 }
 
 std::optional<std::string> Dispatcher::HandoverRejectionReason() {
@@ -84,6 +92,7 @@
   policy_timer_.Stop();
   admin_.CancelDrain();
   client_servers_.ReleaseTransferred();
+  client_servers_.SetOnClosed([this] { shutdown_.ExitIfDone(); });
   platform_notifications_.Shutdown();
   if (result_events_) result_events_->Shutdown();
   endpoint_list_source_.reset();
--- a/src/app/handover_packets.h
+++ b/src/app/handover_packets.h
@@ -28,10 +28,11 @@
   kCancelCallIfUnsent = 'w',  // the same, if the call has not been sent yet
 
   // From the old process to the new one.
-  kRejection = 'n',            // the reason why there is no handover, as text
-  kState = 's',                // a HandoverState
-  kJournalLock = 'k',          // comes with the descriptor that holds the journal's lock
-  kPlatformListener = 'l',     // comes with the platform server's listening descriptor
+  kRejection = 'n',         // the reason why there is no handover, as text
+  kPostponement = 'p',      // the reason why there is no handover at present, as text; it may be tried again
+  kState = 's',             // a HandoverState
+  kJournalLock = 'k',       // comes with the descriptor that holds the journal's lock
+  kPlatformListener = 'l',  // comes with the platform server's listening descriptor
   kCloudEventsListener = 'e',  // comes with the CloudEvents server's listening descriptor
   kGossipSocket = 'u',         // comes with the descriptor of the UDP socket for gossip
   kPlatformClient = 'c',       // a client connection of the platform's server, with its descriptor
--- a/src/app/handover_predecessor.cpp
+++ b/src/app/handover_predecessor.cpp
@@ -30,6 +30,7 @@
 }  // namespace
 
 std::unique_ptr<Predecessor> Predecessor::Find(const Config& config) {
+  std::string postponement;
   const auto give_up_at = std::chrono::steady_clock::now() + kSearchTimeout;
   while (true) {
     auto predecessor = std::make_unique<Predecessor>();
@@ -40,11 +41,15 @@
           predecessor->ReceiveOffer()) {
         return predecessor;
       }
+      postponement = predecessor->postponement_;
     } else if (!IsJournalHeldByAnotherProcess(config.state_folder)) {
       return nullptr;
     }
-    // When the caller then opens the journal, it gets an error that names the process holding it.
-    if (std::chrono::steady_clock::now() >= give_up_at) return nullptr;
+    if (std::chrono::steady_clock::now() >= give_up_at) {
+      if (!postponement.empty()) throw HandoverRejected(postponement);
+      return nullptr;  // when the caller opens the journal, it gets an error that names the process holding
+                       // it
+    }
     std::this_thread::sleep_for(kSearchInterval);
   }
 }
@@ -61,6 +66,9 @@
   switch (KindOf(packet)) {
     case HandoverPacketKind::kRejection:
       throw HandoverRejected(packet.bytes);
+    case HandoverPacketKind::kPostponement:
+      postponement_ = packet.bytes;
+      break;
     case HandoverPacketKind::kState: {
       std::optional<HandoverState> state = DecodeHandoverState(packet.bytes);
       if (!state) {
--- a/src/app/handover_predecessor.h
+++ b/src/app/handover_predecessor.h
@@ -57,7 +57,8 @@
  public:
   // Finds the process that serves from this state folder, and receives its offer. Returns null if there is no
   // such process. Tries again for up to 4 s while a process holds the folder and makes no offer, because that
-  // process may be shutting down or may not be ready yet. Throws HandoverRejected or HandoverFormatError.
+  // process may be shutting down or may not be ready yet, or may have work that it must end first. Throws
+  // HandoverRejected or HandoverFormatError.
   static std::unique_ptr<Predecessor> Find(const Config& config);
 
   // The offer that Find() has received.
@@ -89,6 +90,7 @@
 
   HandoverChannel channel_;
   ReceivedHandover received_;
+  std::string postponement_;  // the reason why there is no offer at present
   std::set<std::uint64_t> calls_in_flight_;
   std::function<void(const CallResult&)> on_result_;
   std::unique_ptr<Timer> channel_closed_timer_;
--- a/src/app/handover_successor.h
+++ b/src/app/handover_successor.h
@@ -35,17 +35,36 @@
   std::vector<HttpServer::ClientToTransfer> cloudevents_clients;
 };
 
+// What keeps a process from being handed over at a moment, as counts.
+struct HandoverObstacles {
+  std::size_t open_requests = 0;        // of clients, without a response
+  std::size_t unread_responses = 0;     // connections on which a response is not written yet
+  std::size_t waiting_submissions = 0;  // whose records are not durable, or that the policy has yet to see
+  std::size_t waiting_attempts = 0;     // the same
+  std::size_t waiting_completions = 0;  // the same
+  std::size_t ended_calls = 0;          // calls in flight of messages that have completed
+
+  bool IsEmpty() const { return unread_responses == 0 && AreOnlyUnreadResponses(); }
+  // Returns whether there are none but clients that have yet to read their responses.
+  bool AreOnlyUnreadResponses() const {
+    return open_requests + waiting_submissions + waiting_attempts + waiting_completions + ended_calls == 0;
+  }
+};
+
 // Listens for the new process, and holds the connection to it.
 class Successor {
  public:
   // The functions of the Dispatcher that the handover uses. All must be set.
   struct Callbacks {
-    // Returns whether nothing waits for the journal and no response is pending. Polled every 2 ms, for half a
-    // second at most.
-    std::function<bool()> is_settled;
+    // Pauses and resumes the reading of clients' requests. The handover waits, in a pause, until those that
+    // were read are answered.
+    std::function<void()> pause_clients;
+    std::function<void()> resume_clients;
+    // Returns what keeps this process from being handed over. Polled every 2 ms during a pause.
+    std::function<HandoverObstacles()> find_obstacles;
     // Returns the reason why there can't be a handover now, or nothing if there can.
     std::function<std::optional<std::string>()> rejection_reason;
-    // Returns the offer. Called right after is_settled has returned true.
+    // Returns the offer. Called right after find_obstacles.
     std::function<HandoverOffer()> make_offer;
     // Called if the new process has died after it was allowed to begin. Returns whether this process can
     // continue with the journal.
@@ -73,7 +92,9 @@
   void OnHello(const Packet& packet);
   std::optional<std::string> RejectionReason(const Packet& hello) const;
   void Reject(const std::string& reason);
+  void BeginPause();
   void OfferOnceSettled();
+  void Postpone(const HandoverObstacles& obstacles);
   void HandOver();
   void SendOffer(const HandoverOffer& offer);
   void SendClients(HandoverPacketKind kind, const std::vector<HttpServer::ClientToTransfer>& clients);
@@ -85,9 +106,11 @@
   const Callbacks callbacks_;
   EventLoop& loop_;
   HandoverChannel channel_;
+  Timer pause_timer_;
   Timer settle_timer_;
   Timer hello_timeout_;
-  std::chrono::steady_clock::time_point hello_received_at_{};
+  std::size_t pauses_ = 0;  // since the hello
+  std::chrono::steady_clock::time_point paused_at_{};
   std::unique_ptr<HandoverListener> listener_;
 };
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -176,9 +176,19 @@
   }
 }
 
-bool HttpServer::HasNoPendingResponse() const {
-  return std::all_of(clients_.begin(), clients_.end(),
-                     [](const auto& entry) { return entry.first->HasNoPendingResponse(); });
+void HttpServer::ResumeReading() {
+  if (!std::exchange(is_reading_paused_, false)) return;
+  for (const auto& [client, owned] : clients_) client->ContinueReading();
+}
+
+std::size_t HttpServer::CountOpenRequests() const {
+  return static_cast<std::size_t>(std::ranges::count_if(
+      clients_, [](const auto& entry) { return entry.first->open_exchange() != nullptr; }));
+}
+
+std::size_t HttpServer::CountUnreadResponses() const {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(clients_, [](const auto& entry) { return entry.first->HasUnwrittenResponse(); }));
 }
 
 std::vector<HttpServer::ClientToTransfer> HttpServer::ClientsToTransfer() const {
@@ -194,7 +204,11 @@
   is_closing_ = true;
   std::vector<ServerConnection*> transferred;
   for (const auto& [client, owned] : clients_) {
-    if (client->IsTransferable()) transferred.push_back(client);
+    if (client->IsTransferable()) {
+      transferred.push_back(client);
+    } else if (!client->is_closing()) {
+      client->CloseOnceWritten();
+    }
   }
   for (ServerConnection* client : transferred) Close(*client, CloseReason::kTransferred);
 }
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -119,12 +119,19 @@
   std::function<void()> on_connection_refused;
   // The listener's descriptor, which stays owned by the server; -1 if the listener is closed.
   int listener_descriptor() const { return listener_ ? evconnlistener_get_fd(listener_.get()) : -1; }
-  // Returns whether no response is pending or still to be written on any connection.
-  bool HasNoPendingResponse() const;
+  // Pauses reading: requests that have not been read whole stay unread, while those that were read are
+  // answered. Connections are still accepted.
+  void PauseReading() { is_reading_paused_ = true; }
+  void ResumeReading();
+  // The number of requests that wait for their response.
+  std::size_t CountOpenRequests() const;
+  // The number of connections on which a response waits for the client to read it.
+  std::size_t CountUnreadResponses() const;
   // Returns the connections that another process can take over.
   std::vector<ClientToTransfer> ClientsToTransfer() const;
   // Closes this process's descriptors of the listener and of ClientsToTransfer(). To be called after they
-  // were sent to the other process.
+  // were sent to the other process. The other connections are closed once their clients have read their
+  // responses, or after a time limit.
   void ReleaseTransferred();
   // Takes over a connection of another process.
   void Adopt(TransferredClient client);
@@ -150,14 +157,15 @@
   ClientMemory own_memory_;
   ClientMemory& memory_;
   Handler handler_;
+  RequestIdentification request_identification_ = RequestIdentification::kById;
   EventListenerPtr listener_;
   std::uint16_t port_ = 0;
   std::uint64_t next_connection_number_ = 1;
   bool is_closing_ = false;
+  bool is_reading_paused_ = false;
   bool is_waiting_for_place_ = false;
   bool is_stopping_ = false;  // StopListening() was called
   int accepted_in_round_ = 0;
-  RequestIdentification request_identification_ = RequestIdentification::kById;
   std::map<ServerConnection*, std::unique_ptr<ServerConnection>> clients_;
   Timer accept_retry_timer_;
   Timer stop_listening_timer_;
--- a/src/net/server_connection.cpp
+++ b/src/net/server_connection.cpp
@@ -275,6 +275,7 @@
   if (HasUnparsedBytes()) last_received_at_ = std::chrono::steady_clock::now();
   const std::uint64_t handled = handled_requests_;
   while (!is_closing_ && !open_exchange() && HasUnparsedBytes()) {
+    if (server_.is_reading_paused_) return true;
     if (handled_requests_ != handled) {
       ReadSoon();
       return true;
@@ -368,8 +369,8 @@
   exchange->connection_number_ = number_;
   exchange->client_id_ = client_id_;
   exchange->is_first_request_ = is_first_request;
-  exchange_ = exchange;
   if (is_repeated) exchange->MarkRepeated();
+  exchange_ = exchange;
   server_.handler_(std::move(exchange));
 }
 
@@ -403,6 +404,7 @@
 
 void ServerConnection::OnTimeout() {
   if (is_closing_) return CloseAfterLinger();
+  if (server_.is_reading_paused_ && HasUnparsedBytes()) return timer_.Schedule(kNextRequestTimeout);
   if (reader_.is_reading()) return RejectRequest(kRequestTimeout);
   if (CloseGracefully()) return;
   timer_.Schedule(kNextRequestTimeout);  // a request has arrived and is read in this iteration of the loop
@@ -418,6 +420,10 @@
   timer_.Schedule(kLingerTime);
 }
 
+void ServerConnection::ContinueReading() {
+  if (HasUnparsedBytes()) ReadSoon();
+}
+
 void ServerConnection::LimitReadAhead(std::size_t max_bytes) {
   bufferevent_setwatermark(buffers_.get(), EV_READ, 0, max_bytes);
 }
--- a/src/net/server_connection.h
+++ b/src/net/server_connection.h
@@ -41,6 +41,11 @@
   // bytes of a request have already arrived, does nothing and returns false, so that the request is answered
   // first.
   bool CloseGracefully();
+  // Reads no further request, and closes the connection once the client has read its responses, or after a
+  // time limit.
+  void CloseOnceWritten();
+  // Reads what has arrived while reading was paused.
+  void ContinueReading();
   // Makes the next response the last one, whatever requests follow it.
   void GiveWayAfterResponse() { gives_way_ = true; }
   bool gives_way() const { return gives_way_; }
@@ -70,8 +75,13 @@
   bool IsAwaitingFirstRequest() const { return !has_sent_requests_ && !is_closing_ && !reader_.is_reading(); }
   // Returns whether no response is pending or still to be written.
   bool HasNoPendingResponse() const { return !open_exchange() && UnwrittenBytes() == 0; }
+  // Returns whether a response waits for the client to read it.
+  bool HasUnwrittenResponse() const { return UnwrittenBytes() > 0; }
   // Returns whether another process can take over the connection.
-  bool IsTransferable() const { return !is_closing_ && !client_has_ended_ && HasNoPendingResponse(); }
+  bool IsTransferable() const {
+    const bool may_have_requests = !client_has_ended_ || HasUnparsedBytes();
+    return !is_closing_ && may_have_requests && HasNoPendingResponse();
+  }
   // Returns the connection's state for the process that takes it over.
   HttpServer::ClientToTransfer DescribeForTransfer() const;
   // Returns whether no further request is read.
@@ -104,7 +114,6 @@
   void DropCopy(const RequestReader::HttpRequest& request);
   void RejectRequest(int status);
   void EndBetweenRequests();
-  void CloseOnceWritten();
   void ReadSoon();
   void LimitReadAhead(std::size_t max_bytes);
   void Write(std::string_view text);
--- a/src/pipeline/admission_controller.h
+++ b/src/pipeline/admission_controller.h
@@ -60,8 +60,8 @@
   // Responds to the clients whose messages are durable. Called after each run of the policy, which may have
   // shed a message that was just accepted, and after each progress of the journal.
   void RespondToWaitingClients();
-  // Whether any accepted submission still waits for its response.
-  bool has_waiting_clients() const { return !waiting_clients_.empty(); }
+  // The number of accepted submissions that still wait for their response.
+  std::size_t waiting_client_count() const { return waiting_clients_.size(); }
 
   // Returns whether this process accepts messages at present. If empty, it always does.
   std::function<bool()> is_accepting;
--- a/src/pipeline/attempt_sender.h
+++ b/src/pipeline/attempt_sender.h
@@ -50,8 +50,8 @@
 
   // Whether there are cancelled attempts that the next StartDueCalls() will report.
   bool has_cancelled_attempts() const { return !cancelled_attempts_.empty(); }
-  // Whether there are recorded attempts whose call was neither made nor reported as not sent.
-  bool has_waiting_attempts() const { return !waiting_attempts_.empty() || has_cancelled_attempts(); }
+  // The number of recorded attempts whose call was neither made nor reported as not sent.
+  std::size_t waiting_attempt_count() const { return waiting_attempts_.size() + cancelled_attempts_.size(); }
 
  private:
   // An attempt whose call can't be made yet.
--- a/src/pipeline/completion_handler.h
+++ b/src/pipeline/completion_handler.h
@@ -52,8 +52,8 @@
   // Called when more records have become durable. Notifies the clients whose notification waited for that.
   void OnJournalProgress();
 
-  // Whether any completed message waits until its records are durable.
-  bool has_waiting_completions() const { return !awaiting_durability_.empty(); }
+  // The number of completed messages that wait until their records are durable.
+  std::size_t waiting_completion_count() const { return awaiting_durability_.size(); }
 
  private:
   MessageTable& messages_;
--- a/src/pipeline/message_pipeline.cpp
+++ b/src/pipeline/message_pipeline.cpp
@@ -57,9 +57,9 @@
   attempt_sender.StartDueCalls();
 }
 
-bool MessagePipeline::IsQuiescent() const {
-  return !admission_controller.has_waiting_clients() && !attempt_sender.has_waiting_attempts() &&
-         !completion_handler.has_waiting_completions();
+WaitingWork MessagePipeline::CountWaitingWork() const {
+  return {admission_controller.waiting_client_count(), attempt_sender.waiting_attempt_count(),
+          completion_handler.waiting_completion_count()};
 }
 
 }  // namespace sagetally
--- a/src/pipeline/message_pipeline.h
+++ b/src/pipeline/message_pipeline.h
@@ -29,6 +29,13 @@
 
 namespace sagetally {
 
+// Counts the work that waits for durable records, or for the policy's next decisions.
+struct WaitingWork {
+  std::size_t submissions = 0;  // whose clients have no response yet
+  std::size_t attempts = 0;     // recorded, and neither called nor reported as not sent
+  std::size_t completions = 0;  // completed messages
+};
+
 class MessagePipeline {
  public:
   // `seed` makes the policy's random choices repeatable. `dead_letters` and `metrics` may be null. All
@@ -50,8 +57,8 @@
   void OnJournalProgress();
   // Passes all queued events to the policy and carries out its decisions.
   void RunPolicy();
-  // Whether nothing waits for durable records.
-  bool IsQuiescent() const;
+  // What waits for durable records, or for the policy.
+  WaitingWork CountWaitingWork() const;
   // The message table that was passed to the constructor.
   MessageTable& messages() { return messages_; }
   const MessageTable& messages() const { return messages_; }
--- a/tests/handover/upgrade_test.cpp
+++ b/tests/handover/upgrade_test.cpp
@@ -8,6 +8,7 @@
 #include "../journal/format1_log.h"
 #include "app/handover_predecessor.h"
 #include "app/journal_settings.h"
+#include "busy_client.h"
 
 namespace sagetally {
 namespace {
@@ -25,7 +26,7 @@
 
 // A serving process, its predecessors, the partner that it delivers to, and clients that submit messages.
 struct UpgradeScenario : World {
-  UpgradeScenario(std::string program, std::uint64_t seed)
+  UpgradeScenario(std::string program, std::uint64_t seed, const std::string& node_file = "{}")
       : World(/*endpoint_count=*/0, /*concurrent_calls=*/24, /*pending_messages=*/150),
         program(std::move(program)),
         partner(loop, seed, 10s),
@@ -36,7 +37,7 @@
     rate = 2000;
     admin = true;
     std::ofstream(folder.path + "/config.json") << ConfigText();
-    std::ofstream(folder.path + "/node.json") << "{}";
+    std::ofstream(folder.path + "/node.json") << node_file;
     agent.keep_notices = false;
     agent.on_notice = [this](const std::string& id, const std::string& status) {
       notified[id].insert(status);
@@ -425,6 +426,53 @@
   scenario.Finish(0);
 }
 
+// Guards against review/9: clients that never pause kept the moment from coming in which every request is
+// answered, and the new process ended. Beside them, the requests of sound clients are all answered.
+void BusyClientsDoNotHoldUpTheHandover(const std::string& program) {
+  static constexpr auto kMaxUpgradeTime = 6s;  // "due within 6 s"
+  UpgradeScenario scenario(program, 11, R"({"cloudevents":{"listen":"127.0.0.1:0"}})");
+  const std::string log = ReadFile(scenario.serving->child.log());
+  const std::size_t ready_at = log.find(" cloudevents.ready ");
+  assert(ready_at != log.npos);
+  const auto events_port =
+      static_cast<std::uint16_t>(std::atoi(log.c_str() + log.find("port=", ready_at) + 5));
+  int next_id = 0;
+  const auto unknown_class = [&] {
+    return "POST /none HTTP/1.1\r\nHost: b\r\nX-Request-Id: bad" + std::to_string(next_id++) +
+           "\r\nX-Class: none\r\nX-Deadline: 5000m\r\nX-Envelope: dest=7\r\nContent-Length: 1\r\n\r\nx";
+  };
+  const auto unsound_event = [&] {
+    return "POST / HTTP/1.1\r\nHost: b\r\nce-id: " + std::to_string(next_id++) +
+           "\r\nContent-Length: 1\r\n\r\nx";
+  };
+  const std::string health = "GET /healthz HTTP/1.1\r\nHost: b\r\n\r\n";
+  std::string many_health;
+  for (int i = 0; i < 1000; ++i) many_health += health;
+  UnreadingClient unreading(scenario.serving->Port(), many_health);
+  RunUntil(scenario.loop, [&] { return unreading.IsBlocked(); });
+  std::vector<std::unique_ptr<PipeliningClient>> busy;
+  const auto add_busy = [&](std::uint16_t port, const std::function<std::string()>& make_request) {
+    busy.push_back(std::make_unique<PipeliningClient>(scenario.loop, port, make_request));
+  };
+  for (int i = 0; i < 2; ++i) {
+    add_busy(scenario.serving->Port(), unknown_class);
+    add_busy(scenario.serving->Port(), [&] { return health; });
+    add_busy(events_port, unsound_event);
+  }
+  scenario.clients->Start(8ms);
+  for (int i = 0; i < 3; ++i) {
+    RunFor(scenario.loop, 300ms);
+    const auto started_at = std::chrono::steady_clock::now();
+    scenario.Upgrade(SIGTERM);
+    assert(std::chrono::steady_clock::now() - started_at < kMaxUpgradeTime);
+    for (const auto& client : busy) {
+      RunUntil(scenario.loop, [&, before = client->responses] { return client->responses > before; });
+    }
+  }
+  busy.clear();
+  scenario.Finish(0);
+}
+
 }  // namespace
 }  // namespace sagetally
 
@@ -443,5 +491,6 @@
   FullDiskAbortsTheHandover(argv[1]);
   Format1JournalIsMigratedAndHandedOver(argv[1]);
   NewProcessGetsTheJournalIfOldOneIsKilled(argv[1]);
-  std::puts("12 passed, 0 failed");
+  BusyClientsDoNotHoldUpTheHandover(argv[1]);
+  std::puts("13 passed, 0 failed");
 }
--- a/tests/net/http_server_races_test.cpp
+++ b/tests/net/http_server_races_test.cpp
@@ -145,6 +145,31 @@
   assert(fixture.request_count == 1 && client.ResponseCount() == 1);
 }
 
+// While reading is paused, what has been read is answered and nothing more is read; a request of a client
+// that has ended its side meanwhile is not lost.
+void PausedReadingLeavesRequestsUnread() {
+  ServerFixture fixture;
+  fixture.defer_responses = true;
+  Client& open = fixture.Connect(kRequest);
+  RunUntil(fixture.loop, [&] { return fixture.pending_exchanges.size() == 1; });
+  fixture.server.PauseReading();
+  Client& waiting = fixture.Connect(kRequest);
+  Client& half = fixture.Connect(kRequest.substr(0, 10));
+  Client& ended = fixture.Connect(kRequest);
+  ended.EndSending();
+  fixture.pending_exchanges[0]->Respond(200);
+  RunUntil(fixture.loop, [&] { return open.ResponseCount() == 1; });
+  RunFor(fixture.loop, 50ms);
+  assert(fixture.request_count == 1 && fixture.server.CountOpenRequests() == 0);
+  assert(fixture.server.ClientsToTransfer().size() == 4);
+  fixture.defer_responses = false;
+  fixture.server.ResumeReading();
+  assert(half.Send(kRequest.substr(10)));
+  RunUntil(fixture.loop, [&] {
+    return waiting.ResponseCount() == 1 && half.ResponseCount() == 1 && ended.ResponseCount() == 1;
+  });
+}
+
 std::string Submission(const std::string& id, const std::string& body = "ok") {
   return "POST /aviso HTTP/1.1\r\nHost: b\r\nX-Request-Id: " + id +
          "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
@@ -310,6 +335,7 @@
   ResponseToADisconnectedClientClosesTheExchange();
   AnIncompleteFirstRequestTimesOutWith408();
   AnIncompleteLaterRequestIsClosedWithoutAResponse();
+  PausedReadingLeavesRequestsUnread();
   ARepeatedRequestDoesNotAnswerTheNextOne();
   ARequestWithoutAnIdThatComesAgainIsAnswered();
   ACopyWithoutAnIdThatArrivesBeforeTheResponseIsDropped();
